--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,236 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/admission"
+	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// slots is a capacity that doesn't change.
+type slots int
+
+func (s slots) FreeSlots(api.Service) int { return int(s) }
+
+func newGate(t *testing.T, free slots) *admission.Gate {
+	gate := admission.New(admission.Options{Capacity: free, Metrics: metric.New(), Nodes: func() int { return 1 }})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = gate.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return gate
+}
+
+func request(team api.Team, n int, wait time.Duration) router.AdmissionRequest {
+	return router.AdmissionRequest{
+		ID: api.RequestID(fmt.Sprint(team, n)), Team: team, Service: "s", Weight: 1, Deadline: time.Now().Add(wait),
+	}
+}
+
+// checkRefusal looks at a refusal's truth and at when its caller is told to come back.
+func checkRefusal(t *testing.T, err error, reason api.Reason) {
+	t.Helper()
+	problem := router.AsProblem(err, "")
+	qt.Check(t, problem.Reason, qt.Equals, reason)
+	qt.Check(t, problem.Outcome, qt.Equals, api.OutcomeNotRun)
+	qt.Check(t, problem.RetryAfter >= time.Second, qt.IsTrue, qt.Commentf("RetryAfter is %s", problem.RetryAfter))
+}
+
+// TestLateRequestsAreRefusedAtOnce refuses what can't be whole in time without holding its caller.
+func TestLateRequestsAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(t, 1)
+		admitted, err := gate.Admit(t.Context(), request("a", 0, time.Minute))
+		qt.Assert(t, err, qt.IsNil)
+		began := time.Now()
+		_, err = gate.Admit(t.Context(), request("a", 1, 500*time.Millisecond))
+		checkRefusal(t, err, api.ReasonDeadline)
+		qt.Check(t, time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = gate.Admit(ctx, request("a", 2, time.Minute))
+		checkRefusal(t, err, api.ReasonDeadline)
+		admitted.Release()
+		admitted.Release()
+		admitted, err = gate.Admit(t.Context(), request("a", 3, time.Minute))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, time.Since(began) <= time.Second+100*time.Millisecond, qt.IsTrue, qt.Commentf("the place came back"))
+		admitted.Release()
+	})
+}
+
+// TestFloodLeavesOthersTheirShare floods one slot with a team while another sends one request at a time; both have the
+// same weight.
+func TestFloodLeavesOthersTheirShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hold = 100 * time.Millisecond
+		gate := newGate(t, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		served := map[api.Team]int{}
+		refused, boosted := map[api.Team]int{}, map[api.Team]int{}
+		run := func(team api.Team, n int) {
+			admitted, err := gate.Admit(ctx, request(team, n, 2*time.Minute))
+			if err == nil {
+				time.Sleep(hold)
+				admitted.Release()
+			} else if ctx.Err() == nil {
+				checkRefusal(t, err, api.ReasonOverloaded)
+				time.Sleep(router.AsProblem(err, "").RetryAfter)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				served[team]++
+				if admitted.Boosted {
+					boosted[team]++
+				}
+			} else if ctx.Err() == nil {
+				refused[team]++
+			}
+		}
+		begin := func(team api.Team, count int) {
+			for i := range count {
+				callers.Go(func() {
+					for n := i; ctx.Err() == nil; n += count {
+						run(team, n)
+					}
+				})
+			}
+		}
+		begin("flood", 5000)
+		begin("steady", 1)
+		callers.Wait()
+		qt.Check(t, refused["flood"] > 0, qt.IsTrue, qt.Commentf("a full queue refuses"))
+		qt.Check(t, refused["steady"], qt.Equals, 0)
+		qt.Check(t, boosted["steady"], qt.Equals, served["steady"])
+		qt.Check(t, boosted["flood"], qt.Equals, 0)
+		total := served["flood"] + served["steady"]
+		t.Logf("served %v of %d", served, total)
+		qt.Check(t, served["steady"]*10 >= total*4, qt.IsTrue, qt.Commentf("served %v", served))
+		qt.Check(t, served["flood"]*10 >= total*4, qt.IsTrue, qt.Commentf("served %v", served))
+	})
+}
+
+// TestBurstAfterIdleWaitsForItsTurn lets a class begin at once on servers that did nothing before: three rounds of work
+// are whole long before the deadline, so that none may be refused.
+func TestBurstAfterIdleWaitsForItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(t, 20)
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		refused := 0
+		for n := range 60 {
+			callers.Go(func() {
+				admitted, err := gate.Admit(t.Context(), request("lessons", n, 8*time.Second))
+				if err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					refused++
+					return
+				}
+				time.Sleep(time.Second)
+				admitted.Release()
+			})
+		}
+		callers.Wait()
+		qt.Check(t, refused, qt.Equals, 0)
+	})
+}
+
+// TestSlowTimesEnd lets servers be slow for a while, longer than callers wait; once they are fast again, callers that
+// wait as long as before are let in.
+func TestSlowTimesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(t, 4)
+		for n := range 20 {
+			admitted, err := gate.Admit(t.Context(), request("a", n, time.Minute))
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(20 * time.Second)
+			admitted.Release()
+		}
+		for n := range 20 {
+			admitted, err := gate.Admit(t.Context(), request("a", 100+n, 8*time.Second))
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			admitted.Release()
+		}
+	})
+}
+
+// TestClassesHaveTheirOwnTimes refuses what takes long where there is no time for it, and not what is short.
+func TestClassesHaveTheirOwnTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(t, 4)
+		admit := func(class api.Class, n int, wait time.Duration) (router.Admitted, error) {
+			req := request("a", n, wait)
+			req.Class = class
+			return gate.Admit(t.Context(), req)
+		}
+		for n := range 20 {
+			for class, hold := range map[api.Class]time.Duration{"long": 10 * time.Second, "short": time.Second} {
+				admitted, err := admit(class, n, time.Minute)
+				qt.Assert(t, err, qt.IsNil)
+				time.Sleep(hold)
+				admitted.Release()
+			}
+		}
+		running, err := admit("short", 100, time.Minute)
+		qt.Assert(t, err, qt.IsNil)
+		defer running.Release()
+		_, err = admit("long", 101, 8*time.Second)
+		checkRefusal(t, err, api.ReasonDeadline)
+		admitted, err := admit("short", 102, 8*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		admitted.Release()
+	})
+}
+
+// TestManyAreLetInSoonAfterSlowTimes lets many callers wait while servers are slow, longer than callers wait later.
+func TestManyAreLetInSoonAfterSlowTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, callers = 32, 16
+		gate := newGate(t, slots)
+		run := func(rounds int, wait, hold, pause time.Duration) (refused int) {
+			var mu sync.Mutex
+			var running sync.WaitGroup
+			for c := range callers {
+				running.Go(func() {
+					for n := range rounds {
+						admitted, err := gate.Admit(t.Context(), request("a", c*1000+n, wait))
+						if err != nil {
+							mu.Lock()
+							refused++
+							mu.Unlock()
+						} else {
+							time.Sleep(hold)
+							admitted.Release()
+						}
+						time.Sleep(pause)
+					}
+				})
+			}
+			running.Wait()
+			return refused
+		}
+		qt.Assert(t, run(4, 2*time.Minute, 20*time.Second, 0), qt.Equals, 0)
+		const fast = 100 * time.Millisecond
+		t.Logf("refused in the first 2 s: %d of %d", run(10, 8*time.Second, fast, fast), 10*callers)
+		qt.Check(t, run(50, 8*time.Second, fast, fast), qt.Equals, 0)
+	})
+}
--- /dev/null
+++ b/internal/answer/expiry.go
@@ -0,0 +1,33 @@
+package answer
+
+// expiry is a heap of finished answers, the first to be dropped on top; it implements heap.Interface.
+type expiry []*entry
+
+// Len implements heap.Interface.
+func (e expiry) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e expiry) Less(i, j int) bool { return e[i].dropAt.Before(e[j].dropAt) }
+
+// Swap implements heap.Interface.
+func (e expiry) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].place, e[j].place = i+1, j+1
+}
+
+// Push implements heap.Interface.
+func (e *expiry) Push(x any) {
+	ent := x.(*entry)
+	*e = append(*e, ent)
+	ent.place = len(*e)
+}
+
+// Pop implements heap.Interface.
+func (e *expiry) Pop() any {
+	last := len(*e) - 1
+	ent := (*e)[last]
+	(*e)[last] = nil
+	*e = (*e)[:last]
+	ent.place = 0
+	return ent
+}
--- /dev/null
+++ b/internal/balance/choose_test.go
@@ -0,0 +1,110 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+func fullTable(n int) *Table {
+	table := NewTable()
+	var members []Member
+	for i := range n {
+		members = append(members, Member{ID: api.ServerID(fmt.Sprintf("server-%d", i))})
+	}
+	table.SetMembers(members)
+	for i, member := range members {
+		for range i % 5 {
+			table.Dispatched(member.ID, Dispatch{At: start})
+		}
+		table.Report(member.ID, Load{Running: i % 7, Slots: 4 + i%8, MeasuredAt: start.Add(time.Second)})
+	}
+	return table
+}
+
+func fullInput(table *Table) Input {
+	return Input{
+		Servers: table.Servers(), Prefix: 7, PrefixTokens: 500, PromptTokens: 1000, AnswerTokens: 200,
+		Choices: 0, Stickiness: 0.1, Now: start.Add(3 * time.Second), Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for name, choices := range map[string]int{"default": DefaultChoices, "all": 0} {
+		b.Run(name, func(b *testing.B) {
+			in := fullInput(fullTable(MaxSubset))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				in.Prefix = uint64(i + 1)
+				in.Choices = choices
+				if _, ok := Choose(&in); !ok {
+					b.Fatal("no server chosen")
+				}
+			}
+		})
+	}
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	in := fullInput(fullTable(MaxSubset))
+	qt.Assert(t, testing.AllocsPerRun(100, func() { Choose(&in) }), qt.Equals, 0.0)
+}
+
+// must fails a check of rapid, whose T isn't a testing.TB.
+func must(t *rapid.T, ok bool) {
+	t.Helper()
+	if !ok {
+		t.Fatal("condition doesn't hold")
+	}
+}
+
+// TestChooseKeepsToOpenServers checks that an excluded or tried server, or one outside Only, is never chosen,
+// and that some server is chosen if any may be.
+func TestChooseKeepsToOpenServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, MaxSubset).Draw(t, "servers")
+		table := fullTable(n)
+		in := fullInput(table)
+		in.Only = Mask(rapid.Uint64().Draw(t, "only"))
+		in.Tried = Mask(rapid.Uint64().Draw(t, "tried"))
+		in.Holders = Mask(rapid.Uint64().Draw(t, "holders"))
+		in.Choices = rapid.IntRange(0, 5).Draw(t, "choices")
+		excluded := Mask(rapid.Uint64().Draw(t, "excluded"))
+		mayChoose := false
+		for i := range in.Servers {
+			in.Servers[i].Excluded = excluded.Has(ServerIndex(i))
+			mayChoose = mayChoose || isOpen(&in, ServerIndex(i))
+		}
+		index, ok := Choose(&in)
+		must(t, ok == mayChoose)
+		if ok {
+			must(t, isOpen(&in, index))
+		}
+	})
+}
+
+func isOpen(in *Input, i ServerIndex) bool {
+	return !in.Servers[i].Excluded && !in.Tried.Has(i) && (in.Only == 0 || in.Only.Has(i))
+}
+
+// TestReportLeavesOutOwnRequests checks that a late report doesn't count the node's own requests twice.
+func TestReportLeavesOutOwnRequests(t *testing.T) {
+	table := NewTable()
+	table.SetMembers([]Member{{ID: "a"}})
+	for i := range 10 {
+		table.Dispatched("a", Dispatch{At: start.Add(time.Duration(i) * time.Second)})
+	}
+	table.Report("a", Load{Running: 8, MeasuredAt: start.Add(4500 * time.Millisecond)})
+	qt.Assert(t, table.Servers()[0].InFlight, qt.Equals, 10)
+	qt.Assert(t, table.Servers()[0].Others, qt.Equals, 3)
+	table.Report("a", Load{Running: 1, MeasuredAt: start.Add(time.Second)})
+	qt.Assert(t, table.Servers()[0].Others, qt.Equals, 3)
+}
--- /dev/null
+++ b/internal/billfold/total.go
@@ -0,0 +1,137 @@
+package billfold
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/monsoonrail/monsoonrail/internal/billing"
+	"github.com/monsoonrail/monsoonrail/internal/billing/billingpb"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// totalPrefix begins the keys of totals.
+	totalPrefix = "bill/total/"
+	// totalBuckets is the number of keys that the teams of a day are spread over, so that a transaction changes few
+	// keys and a value stays far below the service's limit.
+	totalBuckets = 16
+)
+
+// totalKey names the totals of some teams on one day.
+type totalKey struct {
+	day    int64
+	bucket uint64
+	// suffix is that of the scope.
+	suffix string
+}
+
+// String returns the key at the service.
+func (k totalKey) String() string {
+	return fmt.Sprintf("%s%07d/%02d%s", totalPrefix, k.day, k.bucket, k.suffix)
+}
+
+func totalKeyOf(sum *billingpb.Sum, suffix string) totalKey {
+	return totalKey{day: sum.Day, bucket: xxhash.Sum64String(sum.Team) % totalBuckets, suffix: suffix}
+}
+
+// addSums returns the sums of two lists in a new one.
+func addSums(lists ...[]*billingpb.Sum) []*billingpb.Sum {
+	var sums billing.Summer
+	for _, list := range lists {
+		for _, sum := range list {
+			sums.Add(sum)
+		}
+	}
+	return sums.Sums()
+}
+
+// encode returns sums as a total of the scope. Folders of older releases read the first scope's.
+func (s Scope) encode(sums []*billingpb.Sum) ([]byte, error) {
+	if s.suffix == "" {
+		return proto.Marshal(&billingpb.Totals{Sums: sums})
+	}
+	return proto.Marshal(&billingpb.Totals{Columns: billing.ToColumns(sums, nil)})
+}
+
+func decodeTotal(pair kv.Pair) ([]*billingpb.Sum, error) {
+	var totals billingpb.Totals
+	if err := proto.Unmarshal(pair.Value, &totals); err != nil {
+		return nil, &ErrBadTotal{Key: pair.Key, Cause: err}
+	}
+	sums, _, err := billing.FromColumns(totals.Columns)
+	if err != nil {
+		return nil, &ErrBadTotal{Key: pair.Key, Cause: err}
+	}
+	return append(totals.Sums, sums...), nil
+}
+
+// ErrBadTotal means that a total can't be read; nothing is folded into it until an operator has mended it.
+type ErrBadTotal struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrBadTotal) Error() string { return fmt.Sprintf("bad total %s: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ErrBadTotal) Unwrap() error { return e.Cause }
+
+// Total is what a team used of one version of a service on one day.
+type Total struct {
+	Team         api.Team
+	Service      api.Service
+	Version      api.VersionID
+	Requests     int64
+	PromptTokens api.Tokens
+	AnswerTokens api.Tokens
+	Cost         api.MicroUSD
+}
+
+// totalPage bounds the totals of one read.
+const totalPage = 256
+
+// Totals returns the folded totals of a day (billing.DayOf), summed over the scopes.
+func Totals(ctx context.Context, store Store, day int64) ([]Total, error) {
+	var sums billing.Summer
+	opts := kv.ListOptions{Prefix: fmt.Sprintf("%s%07d/", totalPrefix, day), Limit: totalPage}
+	for {
+		listed, err := store.List(ctx, opts)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		for _, pair := range listed.Pairs {
+			decoded, err := decodeTotal(pair)
+			if err != nil {
+				return nil, Error.Wrap(err)
+			}
+			for _, sum := range decoded {
+				sums.Add(sum)
+			}
+		}
+		if !listed.More {
+			return totalsOf(sums.Sums()), nil
+		}
+		opts.From = listed.Pairs[len(listed.Pairs)-1].Key + "\x00"
+	}
+}
+
+func totalsOf(sums []*billingpb.Sum) []Total {
+	var totals []Total
+	for _, sum := range sums {
+		totals = append(totals, Total{
+			Team:         api.Team(sum.Team),
+			Service:      api.Service(sum.Service),
+			Version:      api.VersionID{Model: sum.Model, Version: sum.Version},
+			Requests:     sum.Requests,
+			PromptTokens: api.Tokens(sum.PromptTokens),
+			AnswerTokens: api.Tokens(sum.AnswerTokens),
+			Cost:         api.MicroUSD(sum.CostMicroUsd),
+		})
+	}
+	return totals
+}
--- /dev/null
+++ b/internal/billing/hold_test.go
@@ -0,0 +1,39 @@
+package billing_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/billing"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// TestPeerLearnsKindsAnew bills more kinds than a node and its peer remember, while the peer is replaced now and then.
+func TestPeerLearnsKindsAnew(t *testing.T) {
+	inBubble(t, 2, func(s *system) {
+		const lines = 6000
+		for i := range lines {
+			l := billing.Line{RequestID: api.RequestID(fmt.Sprint(i)), Service: api.Service(fmt.Sprint(i)), At: time.Now()}
+			s.Assert(s.nodes[0].biller.Add(context.Background(), l), qt.IsNil)
+			if i%1000 == 500 {
+				s.restart(1)
+			}
+			if i%10 == 0 {
+				time.Sleep(time.Second)
+			}
+		}
+		s.Assert(s.nodes[0].biller.Stats().Unprotected, qt.Equals, int64(0))
+		// The peer alone writes the rest.
+		s.restart(0)
+		time.Sleep(time.Minute)
+		counts := s.billed()
+		s.Assert(counts, qt.HasLen, lines)
+		for service, count := range counts {
+			s.Assert(count, qt.Equals, int64(1), qt.Commentf("%s", service))
+		}
+	})
+}
--- /dev/null
+++ b/internal/billing/system_test.go
@@ -0,0 +1,195 @@
+package billing_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/monsoonrail/monsoonrail/internal/billing"
+	"github.com/monsoonrail/monsoonrail/internal/billing/billingpb"
+	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+var quiet = &log.Logger{Handler: discard.New()}
+
+// errHold is a failed call between nodes.
+type errHold struct{}
+
+func (errHold) Error() string { return "peer not reached" }
+
+// node is one incarnation of a node.
+type node struct {
+	biller *billing.Biller
+	keeper *billing.Keeper
+	name   api.NodeID
+	inc    api.Incarnation
+	stop   context.CancelFunc
+	duties sync.WaitGroup
+}
+
+// system is a few nodes and the key-value service.
+type system struct {
+	*qt.C
+	service *kvfake.Service
+	mu      sync.Mutex
+	nodes   []*node
+	made    int
+	// failHold counts the next calls between nodes that fail, every other one after it took effect.
+	failHold int
+	// suspects are nodes that live and are thought to be gone.
+	suspects map[api.NodeID]bool
+	// holds counts the calls between nodes.
+	holds int
+	// interval is the HoldInterval of nodes that start.
+	interval time.Duration
+}
+
+// pace restarts the first node with a pace of its messages.
+func (s *system) pace(interval time.Duration) {
+	s.interval = interval
+	s.restart(0)
+}
+
+func newSystem(c *qt.C, count int) *system {
+	s := &system{C: c, service: kvfake.New(), suspects: map[api.NodeID]bool{}}
+	for i := range count {
+		n := s.start(i)
+		s.mu.Lock()
+		s.nodes = append(s.nodes, n)
+		s.mu.Unlock()
+	}
+	return s
+}
+
+func (s *system) start(i int) *node {
+	s.made++
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{name: api.NodeID(fmt.Sprintf("n%d", i)), inc: api.Incarnation(fmt.Sprintf("i%d", s.made)), stop: stop}
+	n.keeper = billing.NewKeeper(billing.KeeperOptions{Store: s.service.Store(), IsAlive: s.isAlive, Log: quiet})
+	n.biller = billing.NewBiller(billing.Options{
+		Node:         n.name,
+		Incarnation:  n.inc,
+		Store:        s.service.Store(),
+		Holder:       s,
+		Peers:        func() []api.NodeID { return s.peersOf(n.name) },
+		HoldInterval: s.interval,
+		Rand:         rand.New(rand.NewPCG(1, uint64(s.made))),
+		Log:          quiet,
+	})
+	for _, run := range []func(context.Context) error{n.biller.RunHold, n.biller.RunFlush, n.keeper.Run} {
+		n.duties.Go(func() { _ = run(ctx) })
+	}
+	return n
+}
+
+// end stops a node's duties; nothing is written any more.
+func (n *node) end() {
+	n.stop()
+	n.duties.Wait()
+}
+
+// restart puts a new incarnation in a node's place.
+func (s *system) restart(i int) {
+	s.nodes[i].end()
+	next := s.start(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[i] = next
+}
+
+func (s *system) peersOf(name api.NodeID) (peers []api.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.nodes {
+		if n != nil && n.name != name && !s.suspects[n.name] {
+			peers = append(peers, n.name)
+		}
+	}
+	return peers
+}
+
+func (s *system) isAlive(name api.NodeID, inc api.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.nodes {
+		if n.name == name {
+			return n.inc == inc && !s.suspects[name]
+		}
+	}
+	return false
+}
+
+// Hold implements billing.Holder; messages are copied as the network would.
+func (s *system) Hold(_ context.Context, peer api.NodeID, req *billingpb.HoldRequest) (*billingpb.HoldResponse, error) {
+	s.mu.Lock()
+	s.holds++
+	fails := s.failHold > 0
+	losesAnswer := s.failHold%2 == 0
+	s.failHold = max(0, s.failHold-1)
+	var keeper *billing.Keeper
+	for _, n := range s.nodes {
+		if n.name == peer {
+			keeper = n.keeper
+		}
+	}
+	s.mu.Unlock()
+	if fails && !losesAnswer {
+		return nil, errHold{}
+	}
+	resp, err := keeper.Hold(proto.Clone(req).(*billingpb.HoldRequest))
+	if fails {
+		return nil, errHold{}
+	}
+	return resp, err
+}
+
+// billed counts the requests of each service in all segments; tests give each line a service of its own.
+func (s *system) billed() map[api.Service]int64 {
+	listed, err := s.service.Store().List(context.Background(), kv.ListOptions{Prefix: billing.ShardPrefix})
+	s.Assert(err, qt.IsNil)
+	counts := map[api.Service]int64{}
+	for _, pair := range listed.Pairs {
+		segment, err := billing.DecodeSegment(pair.Value)
+		s.Assert(err, qt.IsNil)
+		for _, sum := range segment.Sums {
+			counts[api.Service(sum.Service)] += sum.Requests
+		}
+		for _, keyed := range segment.Keyed {
+			counts[api.Service(keyed.Sum.Service)] += keyed.Sum.Requests
+		}
+	}
+	return counts
+}
+
+func inBubble(t *testing.T, count int, f func(s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(qt.New(t), count)
+		defer func() {
+			for _, n := range s.nodes {
+				n.end()
+			}
+			s.service.Wait()
+		}()
+		f(s)
+	})
+}
+
+func line(number int) billing.Line {
+	id := fmt.Sprintf("r%d", number)
+	l := billing.Line{RequestID: api.RequestID(id), Team: "carrasco", Service: api.Service(id), AnswerTokens: 7, At: time.Now()}
+	if number%3 == 0 {
+		l.Key = api.IdempotencyKey(id)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,344 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/claim"
+	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
+	"github.com/monsoonrail/monsoonrail/internal/idem"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+var quiet = &log.Logger{Handler: discard.New()}
+
+// nodes are nodes of one fleet, each with its batcher.
+type nodes struct {
+	*qt.C
+	service  *kvfake.Service
+	batchers map[api.NodeID]*claim.Batcher
+	claims   []*claim.Claims
+	names    []api.NodeID
+	// lose tells what becomes of the next call between nodes.
+	lose     func() remoteFault
+	stop     context.CancelFunc
+	ended    chan error
+	requests int
+}
+
+type remoteFault int
+
+const (
+	remoteWorks remoteFault = iota
+	remoteLosesRequest
+	remoteLosesAnswer
+)
+
+// errRemote is a failed call between nodes.
+type errRemote struct{}
+
+func (errRemote) Error() string { return "call between nodes failed" }
+
+// CommitAt implements claim.Gatherers.
+func (n *nodes) CommitAt(ctx context.Context, node api.NodeID, entry claim.Entry) (claim.Result, error) {
+	fault := n.lose()
+	if fault == remoteLosesRequest {
+		return claim.Result{}, errRemote{}
+	}
+	result, err := n.batchers[node].Commit(ctx, entry)
+	if fault == remoteLosesAnswer {
+		return claim.Result{}, errRemote{}
+	}
+	return result, err
+}
+
+func start(c *qt.C, count int, opts claim.BatcherOptions) *nodes {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &nodes{
+		C:        c,
+		service:  kvfake.New(),
+		batchers: make(map[api.NodeID]*claim.Batcher),
+		lose:     func() remoteFault { return remoteWorks },
+		stop:     stop,
+		ended:    make(chan error, count),
+	}
+	opts.Store, opts.Log = n.service.Store(), quiet
+	for i := range count {
+		name := api.NodeID(fmt.Sprintf("n%d", i))
+		batcher := claim.NewBatcher(opts)
+		n.names = append(n.names, name)
+		n.batchers[name] = batcher
+		n.claims = append(n.claims, nil)
+		n.restart(i)
+		go func() { n.ended <- batcher.Run(ctx) }()
+	}
+	return n
+}
+
+// restart gives a node a new incarnation that remembers nothing.
+func (n *nodes) restart(i int) {
+	n.requests++
+	n.claims[i] = claim.New(claim.Options{
+		Node:          n.names[i],
+		Incarnation:   api.Incarnation(fmt.Sprintf("%s-%d", n.names[i], n.requests)),
+		Local:         n.batchers[n.names[i]],
+		Remote:        n,
+		Members:       func() []api.NodeID { return n.names },
+		GathererCount: 2,
+		MaxRemembered: 4,
+	})
+}
+
+func inBubble(t *testing.T, count int, opts claim.BatcherOptions, f func(n *nodes)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := start(qt.New(t), count, opts)
+		defer func() {
+			n.stop()
+			for range n.names {
+				<-n.ended
+			}
+			n.service.Wait()
+		}()
+		f(n)
+	})
+}
+
+func (n *nodes) request(key string) claim.Request {
+	n.requests++
+	return claim.Request{
+		Team:      "carrasco",
+		Key:       api.IdempotencyKey(key),
+		RequestID: api.RequestID(fmt.Sprintf("r%d", n.requests)),
+	}
+}
+
+func TestClaimOnce(t *testing.T) {
+	inBubble(t, 2, claim.BatcherOptions{}, func(n *nodes) {
+		ctx := context.Background()
+		first := n.request("order-17")
+		won, err := n.claims[0].Claim(ctx, first)
+		n.Assert(err, qt.IsNil)
+		n.Assert(won.IsNew, qt.IsTrue)
+		for i, c := range n.claims {
+			again, err := c.Claim(ctx, n.request("order-17"))
+			n.Assert(err, qt.IsNil)
+			n.Assert(again, qt.Equals, claim.Claimed{Owner: won.Owner}, qt.Commentf("node %d", i))
+			other := n.request("order-17")
+			other.Fingerprint[0] = 1
+			_, err = c.Claim(ctx, other)
+			n.Assert(err, qt.Satisfies, idem.IsErrKeyReused)
+		}
+		n.claims[0].Release(first)
+		again, err := n.claims[1].Claim(ctx, n.request("order-17"))
+		n.Assert(err, qt.IsNil)
+		n.Assert(again.IsNew, qt.IsFalse)
+		again, err = n.claims[0].Claim(ctx, n.request("order-17"))
+		n.Assert(err, qt.IsNil)
+		n.Assert(again.IsNew, qt.IsTrue)
+	})
+}
+
+// TestBatchWithConflicts puts claimed, free and repeated keys into one batch.
+func TestBatchWithConflicts(t *testing.T) {
+	inBubble(t, 1, claim.BatcherOptions{MinInterval: time.Second}, func(n *nodes) {
+		ctx := context.Background()
+		for _, key := range []api.IdempotencyKey{"a", "b"} {
+			_, err := n.service.Store().Commit(ctx, kv.Txn{Then: []kv.Op{{
+				Kind:  kv.OpPut,
+				Key:   claim.KeyOf("carrasco", key),
+				Value: []byte(`{"Node":"n9","Nonce":"1"}`),
+			}}})
+			n.Assert(err, qt.IsNil)
+		}
+		_, err := n.claims[0].Claim(ctx, n.request("z"))
+		n.Assert(err, qt.IsNil)
+		before := n.batchers["n0"].Stats().Transactions
+		results := make(chan string, 6)
+		for _, key := range []string{"a", "c", "d", "b", "e"} {
+			req := n.request(key)
+			go func() {
+				claimed, err := n.claims[0].Claim(ctx, req)
+				results <- fmt.Sprint(key, claimed.IsNew, err)
+			}()
+		}
+		got := map[string]bool{}
+		for range 5 {
+			got[<-results] = true
+		}
+		n.Assert(got, qt.DeepEquals, map[string]bool{
+			"afalse <nil>": true, "bfalse <nil>": true, "ctrue <nil>": true, "dtrue <nil>": true, "etrue <nil>": true,
+		})
+		n.Assert(n.batchers["n0"].Stats().Transactions-before, qt.Equals, int64(2))
+	})
+}
+
+func TestRepeatedKeyInOneBatch(t *testing.T) {
+	inBubble(t, 1, claim.BatcherOptions{}, func(n *nodes) {
+		batcher := n.batchers["n0"]
+		results := make(chan claim.Result, 3)
+		for i := range 3 {
+			entry := claim.Entry{Key: "claim/k", Record: claim.Record{Nonce: fmt.Sprint(i)}}
+			go func() {
+				result, err := batcher.Commit(context.Background(), entry)
+				n.Check(err, qt.IsNil)
+				results <- result
+			}()
+		}
+		won := 0
+		for range 3 {
+			if (<-results).IsWon {
+				won++
+			}
+		}
+		n.Assert(won, qt.Equals, 1)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	inBubble(t, 1, claim.BatcherOptions{}, func(n *nodes) {
+		ctx := context.Background()
+		_, err := n.claims[0].Claim(ctx, n.request("first"))
+		n.Assert(err, qt.IsNil)
+		n.service.FailNext(kvfake.CallWrite, kvfake.FaultLoseAnswer, 1)
+		claimed, err := n.claims[0].Claim(ctx, n.request("k"))
+		n.Assert(err, qt.IsNil)
+		n.Assert(claimed.IsNew, qt.IsTrue)
+		// All tries lose their answers: the request does not run, and its next try does, once.
+		n.service.FailNext(kvfake.CallWrite, kvfake.FaultLoseAnswer, 3)
+		_, err = n.claims[0].Claim(ctx, n.request("l"))
+		n.Assert(err, qt.Satisfies, claim.IsErrUnavailable)
+		claimed, err = n.claims[0].Claim(ctx, n.request("l"))
+		n.Assert(err, qt.IsNil)
+		n.Assert(claimed.IsNew, qt.IsTrue)
+	})
+}
+
+// TestOutage wants a true refusal within the timeout for each kind of outage, and service again after it.
+func TestOutage(t *testing.T) {
+	for _, fault := range []kvfake.Fault{kvfake.FaultRefuse, kvfake.FaultLoseRequest, kvfake.FaultHang} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			inBubble(t, 3, claim.BatcherOptions{}, func(n *nodes) {
+				n.service.StartOutage(fault)
+				began := time.Now()
+				for _, c := range n.claims {
+					_, err := c.Claim(context.Background(), n.request("k"))
+					n.Assert(err, qt.Satisfies, claim.IsErrUnavailable)
+				}
+				n.Assert(time.Since(began) <= 3*claim.DefaultTimeout, qt.IsTrue)
+				n.service.EndOutage()
+				time.Sleep(claim.DefaultTimeout)
+				claimed, err := n.claims[0].Claim(context.Background(), n.request("k"))
+				n.Assert(err, qt.IsNil)
+				n.Assert(claimed.IsNew, qt.IsTrue)
+			})
+		})
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	inBubble(t, 1, claim.BatcherOptions{Queue: 8}, func(n *nodes) {
+		n.service.StartOutage(kvfake.FaultHang)
+		failed := make(chan error, 40)
+		for range 40 {
+			req := n.request(fmt.Sprint(n.requests))
+			go func() {
+				_, err := n.claims[0].Claim(context.Background(), req)
+				failed <- err
+			}()
+		}
+		for range 40 {
+			n.Assert(<-failed, qt.Satisfies, claim.IsErrUnavailable)
+		}
+	})
+}
+
+// TestRetention keeps claims for a day at least and lets go of them in groups; an hour has one lease for all nodes.
+func TestRetention(t *testing.T) {
+	inBubble(t, 2, claim.BatcherOptions{}, func(n *nodes) {
+		time.Sleep(30 * time.Minute)
+		leases := map[kv.LeaseID]bool{}
+		store := n.service.Store()
+		for i, key := range []string{"a", "b", "c", "d", "e"} {
+			claimed, err := n.claims[i%2].Claim(context.Background(), n.request(key))
+			n.Assert(err, qt.IsNil)
+			n.Assert(claimed.IsNew, qt.IsTrue)
+			pair, err := store.Get(context.Background(), claim.KeyOf("carrasco", api.IdempotencyKey(key)))
+			n.Assert(err, qt.IsNil)
+			leases[pair.Lease] = true
+		}
+		n.Assert(leases, qt.HasLen, 1)
+		count := func() int {
+			listed, err := store.List(context.Background(), kv.ListOptions{Prefix: "claim/"})
+			n.Assert(err, qt.IsNil)
+			return len(listed.Pairs)
+		}
+		time.Sleep(claim.DefaultRetention)
+		n.Assert(count(), qt.Equals, 5)
+		time.Sleep(time.Hour)
+		n.Assert(count(), qt.Equals, 0)
+	})
+}
+
+// TestServiceComesBackOlder loses claims at the service; the gatherers still know them and put them back.
+func TestServiceComesBackOlder(t *testing.T) {
+	inBubble(t, 2, claim.BatcherOptions{}, func(n *nodes) {
+		ctx := context.Background()
+		_, err := n.claims[0].Claim(ctx, n.request("before"))
+		n.Assert(err, qt.IsNil)
+		snapshot := n.service.Snapshot()
+		keys := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		for _, key := range keys {
+			claimed, err := n.claims[0].Claim(ctx, n.request(key))
+			n.Assert(err, qt.IsNil)
+			n.Assert(claimed.IsNew, qt.IsTrue)
+		}
+		n.service.Restore(snapshot)
+		for i := range 20 {
+			_, err := n.claims[1].Claim(ctx, n.request(fmt.Sprint("after", i)))
+			n.Assert(err, qt.IsNil)
+		}
+		time.Sleep(time.Second)
+		for _, key := range keys {
+			claimed, err := n.claims[1].Claim(ctx, n.request(key))
+			n.Assert(err, qt.IsNil)
+			n.Assert(claimed.IsNew, qt.IsFalse)
+			pair, err := n.service.Store().Get(ctx, claim.KeyOf("carrasco", api.IdempotencyKey(key)))
+			n.Assert(err, qt.IsNil)
+			n.Assert(pair.Version > 0, qt.IsTrue, qt.Commentf("%s was not put back", key))
+		}
+	})
+}
+
+// TestOwnClaimsAreMadeAgain loses claims at the service whose gatherer has gone; their owner still knows them.
+func TestOwnClaimsAreMadeAgain(t *testing.T) {
+	inBubble(t, 2, claim.BatcherOptions{}, func(n *nodes) {
+		ctx, cancel := context.WithCancel(context.Background())
+		own := claim.New(claim.Options{Node: "n0", Incarnation: "own", Local: n.batchers["n0"], Members: func() []api.NodeID { return nil }})
+		restorer := claim.NewRestorer(claim.RestorerOptions{
+			Store: n.service.Store(), Claims: own, Batcher: n.batchers["n0"], Log: quiet,
+		})
+		done := make(chan error)
+		go func() { done <- restorer.Run(ctx) }()
+		snapshot := n.service.Snapshot()
+		won, err := own.Claim(ctx, n.request("k"))
+		n.Assert(err, qt.IsNil)
+		n.Assert(won.IsNew, qt.IsTrue)
+		time.Sleep(2 * claim.DefaultCheckInterval)
+		n.service.Restore(snapshot)
+		time.Sleep(2 * claim.DefaultCheckInterval)
+		// Another gatherer asks the service alone.
+		result, err := n.batchers["n1"].Commit(ctx, claim.Entry{Key: claim.KeyOf("carrasco", "k"), Record: claim.Record{Nonce: "other"}})
+		n.Assert(err, qt.IsNil)
+		n.Assert(result.Existing.Incarnation, qt.Equals, api.Incarnation("own"))
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/claim/hourly.go
@@ -0,0 +1,70 @@
+package claim
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+)
+
+const (
+	// DefaultRetention is how long a claim is kept at least.
+	DefaultRetention = 24 * time.Hour
+	// leasePrefix begins the keys that name the hours' leases.
+	leasePrefix = "claimlease/"
+	// leasePeriod is how long new claims use the same lease.
+	leasePeriod = time.Hour
+)
+
+// hourlyLeases finds the lease that all nodes put the claims of one hour under. It is granted once by whichever node
+// is first and ends, with its claims, a retention after its hour.
+type hourlyLeases struct {
+	store     Store
+	retention time.Duration
+	hour      int64
+	id        kv.LeaseID
+}
+
+// current returns the lease of an hour.
+func (h *hourlyLeases) current(ctx context.Context, now time.Time) (kv.LeaseID, error) {
+	hour := now.Unix() / int64(leasePeriod/time.Second)
+	if h.id != 0 && h.hour == hour {
+		return h.id, nil
+	}
+	id, err := h.find(ctx, leasePrefix+strconv.FormatInt(hour, 10))
+	if err != nil {
+		return 0, err
+	}
+	h.hour, h.id = hour, id
+	return id, nil
+}
+
+// forget drops a lease that the service does not know any more.
+func (h *hourlyLeases) forget() { h.id = 0 }
+
+// find returns the lease that a key names, or grants it.
+func (h *hourlyLeases) find(ctx context.Context, key string) (kv.LeaseID, error) {
+	named, err := h.store.Get(ctx, key)
+	if err != nil || named.Version != 0 {
+		return named.Lease, err
+	}
+	granted, err := h.store.Grant(ctx, h.retention+leasePeriod)
+	if err != nil {
+		return 0, err
+	}
+	result, err := h.store.Commit(ctx, kv.Txn{
+		If:   []kv.Compare{{Key: key}},
+		Then: []kv.Op{{Kind: kv.OpPut, Key: key, Lease: granted.ID}},
+		Else: []kv.Op{{Kind: kv.OpGet, Key: key}},
+	})
+	switch {
+	case err != nil:
+		// The next try reads whether the key was written.
+		return 0, err
+	case result.Succeeded:
+		return granted.ID, nil
+	}
+	_ = h.store.Revoke(ctx, granted.ID)
+	return result.Pairs[0].Lease, nil
+}
--- /dev/null
+++ b/internal/cmd/config_nodes.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/follower"
+	pb "github.com/monsoonrail/monsoonrail/internal/operator/operatorpb"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// nodeTimeout is how long a node has to tell what is in force.
+const nodeTimeout = 5 * time.Second
+
+// nodeFlags say which nodes tell whether the key-value service has all that is in force.
+type nodeFlags struct {
+	Nodes        []string `long:"node" env:"MONSOONRAIL_NODE_URLS" env-delim:"," description:"base URL of a node, which is asked whether the key-value service has all that is in force; may be repeated: the next one is asked if one is not reached"`
+	Key          string   `long:"key" env:"MONSOONRAIL_OPERATOR_KEY" description:"operator key for the nodes"`
+	WithoutNodes bool     `long:"without-nodes" description:"ask no node; only for a fleet of which no node runs"`
+}
+
+// serviceOlderError tells that a change would take a revision's number that is taken on the nodes.
+type serviceOlderError struct {
+	Node            string
+	Store           string
+	InForce, Stored api.Revision
+}
+
+// Error implements error.
+func (e *serviceOlderError) Error() string {
+	return fmt.Sprintf("not accepted: node %s has revision %d in force and finds the key-value service %s, which is at revision %d; "+
+		"nodes write back what it lacks, try again in some seconds", e.Node, e.InForce, e.Store, e.Stored)
+}
+
+// check returns an error if nodes have revisions in force that the service lacks, or none tells.
+func (f nodeFlags) check(stored api.Revision) error {
+	if f.WithoutNodes {
+		return nil
+	}
+	if len(f.Nodes) == 0 || f.Nodes[0] == "" {
+		return &usageError{cause: errMissingFlag("--node", "MONSOONRAIL_NODE_URLS", "base URLs of nodes, or --without-nodes for a fleet of which no node runs")}
+	}
+	if f.Key == "" {
+		return &usageError{cause: errMissingFlag("--key", "MONSOONRAIL_OPERATOR_KEY", "an operator's key")}
+	}
+	status, err := call(operatorFlags{Nodes: f.Nodes, Key: f.Key, Timeout: nodeTimeout}, &pb.GetStatusRequest{}, getStatus)
+	if err != nil {
+		return err
+	}
+	inForce := status.Revision
+	for _, node := range status.Nodes {
+		inForce = max(inForce, node.Revision)
+	}
+	if api.Revision(inForce) > stored || follower.ServiceState(status.Store).IsAlarm() {
+		return &serviceOlderError{Node: status.Node, Store: status.Store, InForce: api.Revision(inForce), Stored: stored}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmd/operator.go
@@ -0,0 +1,94 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/monsoonrail/monsoonrail/internal/operator/operatorpb/operatorpbconnect"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+)
+
+// operatorFlags say which nodes a subcommand asks, and as whom.
+type operatorFlags struct {
+	Nodes   []string      `long:"node" env:"MONSOONRAIL_NODE_URLS" env-delim:"," required:"true" description:"base URL of a node; may be repeated: the next one is asked if one is not reached"`
+	Key     string        `long:"key" env:"MONSOONRAIL_OPERATOR_KEY" required:"true" description:"operator key; best given by the environment, where other users don't see it"`
+	Timeout time.Duration `long:"timeout" env:"MONSOONRAIL_OPERATOR_TIMEOUT" default:"10s" description:"how long to wait for each node"`
+	Format  string        `long:"format" default:"text" choice:"text" choice:"json" description:"what is printed"`
+}
+
+// bearer sends the operator's key with each call.
+type bearer struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b bearer) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	req.Header.Set("Authorization", "Bearer "+b.key)
+	return b.next.RoundTrip(req)
+}
+
+// call makes a call to the first node that is reached. Calls that change something carry an id, so that a node asked
+// after a lost answer takes them for the same.
+func call[Req, Resp any](f operatorFlags, msg *Req, method func(operatorpbconnect.OperatorServiceClient) func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)) (*Resp, error) {
+	transport := tcp.NewTransport(tcp.System{})
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: bearer{key: f.Key, next: transport}}
+	var err error
+	for _, node := range f.Nodes {
+		var resp *connect.Response[Resp]
+		resp, err = callNode(f, method(operatorpbconnect.NewOperatorServiceClient(client, strings.TrimSuffix(node, "/"))), msg)
+		if err == nil {
+			return resp.Msg, nil
+		}
+		if code := connect.CodeOf(err); code != connect.CodeUnavailable && code != connect.CodeDeadlineExceeded {
+			break
+		}
+	}
+	return nil, err
+}
+
+func callNode[Req, Resp any](f operatorFlags, do func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error), msg *Req) (*connect.Response[Resp], error) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	resp, err := do(ctx, connect.NewRequest(msg))
+	var failure *connect.Error
+	if errors.As(err, &failure) && (failure.Code() == connect.CodeInvalidArgument || failure.Code() == connect.CodeUnauthenticated) {
+		return nil, &usageError{cause: err}
+	}
+	return resp, err
+}
+
+// print writes a message as JSON, or as the text that write makes in columns.
+func (f operatorFlags) print(out io.Writer, msg proto.Message, write func(w io.Writer)) error {
+	if f.Format == formatJSON {
+		text, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(msg)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(out, string(text))
+		return err
+	}
+	columns := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	write(columns)
+	return columns.Flush()
+}
+
+func localTime(t *timestamppb.Timestamp) string {
+	if t == nil {
+		return "never"
+	}
+	return t.AsTime().Local().Format(time.DateTime)
+}
--- /dev/null
+++ b/internal/cmd/serve.go
@@ -0,0 +1,42 @@
+package cmd
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/monsoonrail/monsoonrail/internal/node"
+	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+)
+
+type serveOptions struct {
+	std streams
+	setting.Settings
+}
+
+func serveCommand(std streams) subcommand {
+	return subcommand{
+		name:  "serve",
+		short: "Run a node",
+		long: "Runs one node until SIGTERM or SIGINT, then shuts it down gracefully: it leaves the address answers, " +
+			"serves for as long as it promised addresses, and ends once no request runs.",
+		data: &serveOptions{std: std},
+	}
+}
+
+// Execute implements flags.Commander.
+func (o *serveOptions) Execute([]string) error {
+	if err := o.Settings.Check(); err != nil {
+		return &usageError{cause: err}
+	}
+	setCollector()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	logger := o.Settings.Log.Logger(o.std.err)
+	running, err := node.New(ctx, node.Options{Settings: o.Settings, Network: tcp.System{}, Log: logger})
+	if err != nil {
+		return err
+	}
+	return running.Run(ctx)
+}
--- /dev/null
+++ b/internal/configlog/configlog.go
@@ -0,0 +1,269 @@
+// Package configlog keeps the history of the fleet's configuration in the key-value service: a head that is moved by
+// compare-and-swap, one key for each delta, and snapshots that allow old deltas to be deleted.
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// DefaultPrefix begins every key of the log.
+	DefaultPrefix = "monsoonrail/config/"
+	// MaxDeltaBytes bounds an encoded delta; the service takes values of up to a megabyte.
+	MaxDeltaBytes = 512 << 10
+	// pageSize bounds the deltas of one read.
+	pageSize = 200
+	// maxLoadSteps bounds the reads of one Load.
+	maxLoadSteps = 1000
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("configlog")
+
+// Store is the part of the key-value service that the log uses.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Pair, error)
+	List(ctx context.Context, opts kv.ListOptions) (kv.ListResult, error)
+	Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
+	Watch(ctx context.Context, prefix string, from kv.Version, handle func(kv.WatchBatch) error) error
+}
+
+// Head is the newest revision in the service.
+type Head struct {
+	// Revision is 0 while nothing was accepted.
+	Revision api.Revision
+	ChangeID fleet.ChangeID
+	// Snapshot is the revision of the newest snapshot; 0 means none.
+	Snapshot api.Revision `json:",omitempty"`
+	// Chunks counts the keys of the snapshot.
+	Chunks int `json:",omitempty"`
+	// Oldest is the oldest delta that is kept; 0 means that all are.
+	Oldest api.Revision `json:",omitempty"`
+
+	version kv.Version
+}
+
+// Log is the configuration's history in the service. It holds no state of its own.
+type Log struct {
+	store  Store
+	prefix string
+}
+
+// New returns the log below a prefix of keys.
+func New(store Store, prefix string) *Log { return &Log{store: store, prefix: prefix} }
+
+func (l *Log) headKey() string     { return l.prefix + "head" }
+func (l *Log) deltaPrefix() string { return l.prefix + "delta/" }
+
+func (l *Log) deltaKey(revision api.Revision) string {
+	return fmt.Sprintf("%s%016d", l.deltaPrefix(), revision)
+}
+
+func (l *Log) chunkKey(revision api.Revision, chunk int) string {
+	return fmt.Sprintf("%ssnapshot/%016d/%04d", l.prefix, revision, chunk)
+}
+
+// Head reads the newest revision.
+func (l *Log) Head(ctx context.Context) (Head, error) {
+	pair, err := l.store.Get(ctx, l.headKey())
+	if err != nil {
+		return Head{}, Error.Wrap(err)
+	}
+	return decodeHead(pair)
+}
+
+func decodeHead(pair kv.Pair) (Head, error) {
+	if pair.Version == 0 {
+		return Head{}, nil
+	}
+	var head Head
+	if err := json.Unmarshal(pair.Value, &head); err != nil {
+		return Head{}, Error.Wrap(&fleet.ErrCorrupt{What: "head", Cause: err})
+	}
+	head.version = pair.Version
+	return head, nil
+}
+
+// Page is a run of deltas read from the service.
+type Page struct {
+	// Deltas is in order and without holes.
+	Deltas []fleet.Delta
+	// More tells that the service holds further deltas.
+	More bool
+	// Version is the service's revision at the read; a watch from Version+1 misses nothing.
+	Version kv.Version
+}
+
+// Read returns the deltas after a revision, the next one first. A first delta that is not the next one tells that
+// those in between were deleted.
+func (l *Log) Read(ctx context.Context, after api.Revision) (Page, error) {
+	list, err := l.store.List(ctx, kv.ListOptions{Prefix: l.deltaPrefix(), From: l.deltaKey(after + 1), Limit: pageSize})
+	if err != nil {
+		return Page{}, Error.Wrap(err)
+	}
+	page := Page{More: list.More, Version: list.Revision}
+	for _, pair := range list.Pairs {
+		delta, err := fleet.DecodeDelta(pair.Value)
+		if err != nil {
+			return Page{}, Error.Wrap(err)
+		}
+		page.Deltas = append(page.Deltas, delta)
+	}
+	return page, nil
+}
+
+// Replica is a copy of the configuration that follows the log.
+type Replica interface {
+	// State returns the replica's state; it is never nil.
+	State() *fleet.State
+	// Apply applies deltas in order; those that the state has already are skipped.
+	Apply(deltas []fleet.Delta) error
+	// Adopt replaces the state by a newer one.
+	Adopt(state *fleet.State)
+}
+
+// Load brings a replica up to the head of the service and returns the service's revision, from which on a watch misses
+// nothing. It returns ErrOlder or fleet.ErrForked if the service does not continue the replica's state.
+func (l *Log) Load(ctx context.Context, replica Replica) (kv.Version, error) {
+	for range maxLoadSteps {
+		after := replica.State().Revision()
+		page, err := l.Read(ctx, after)
+		if err != nil {
+			return 0, err
+		}
+		if len(page.Deltas) > 0 && page.Deltas[0].Revision == after+1 {
+			if err := replica.Apply(page.Deltas); err != nil {
+				return 0, Error.Wrap(err)
+			}
+			if !page.More {
+				return page.Version, nil
+			}
+			continue
+		}
+		done, err := l.loadHead(ctx, replica)
+		if err != nil || done {
+			return page.Version, err
+		}
+	}
+	return 0, Error.Wrap(&ErrUnsettled{Revision: replica.State().Revision()})
+}
+
+// loadHead compares a replica with the head where no delta follows it, and adopts the snapshot if that is newer.
+func (l *Log) loadHead(ctx context.Context, replica Replica) (done bool, err error) {
+	head, err := l.Head(ctx)
+	if err != nil {
+		return false, err
+	}
+	state := replica.State()
+	switch {
+	case head.Revision < state.Revision():
+		return false, Error.Wrap(&ErrOlder{Head: head, Have: state.Revision()})
+	case head.Revision == state.Revision() && head.ChangeID != state.ChangeID:
+		return false, Error.Wrap(&fleet.ErrForked{Revision: head.Revision, Have: state.ChangeID, Got: head.ChangeID})
+	case head.Revision == state.Revision():
+		return true, nil
+	case head.Snapshot <= state.Revision():
+		return false, nil
+	}
+	newer, err := l.Snapshot(ctx, head)
+	if err != nil {
+		return false, err
+	}
+	replica.Adopt(newer)
+	return false, nil
+}
+
+// Snapshot reads the snapshot that the head names.
+func (l *Log) Snapshot(ctx context.Context, head Head) (*fleet.State, error) {
+	var data []byte
+	for chunk := range head.Chunks {
+		pair, err := l.store.Get(ctx, l.chunkKey(head.Snapshot, chunk))
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		data = append(data, pair.Value...)
+	}
+	state, err := fleet.DecodeState(data)
+	return state, Error.Wrap(err)
+}
+
+// Watch calls handle with the deltas accepted from a revision of the service on, until ctx ends or the watch breaks.
+// Deltas may be missing where the service drops events; they show as holes in the revisions.
+func (l *Log) Watch(ctx context.Context, from kv.Version, handle func([]fleet.Delta) error) error {
+	return Error.Wrap(l.store.Watch(ctx, l.deltaPrefix(), from, func(batch kv.WatchBatch) error {
+		var deltas []fleet.Delta
+		for _, event := range batch.Events {
+			if event.Deleted {
+				continue
+			}
+			delta, err := fleet.DecodeDelta(event.Pair.Value)
+			if err != nil {
+				return err
+			}
+			deltas = append(deltas, delta)
+		}
+		slices.SortFunc(deltas, func(a, b fleet.Delta) int { return int(a.Revision - b.Revision) })
+		return handle(deltas)
+	}))
+}
+
+// History returns the newest deltas that are kept, at most limit of them, newest first.
+func (l *Log) History(ctx context.Context, limit int) ([]fleet.Delta, error) {
+	head, err := l.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var found []fleet.Delta
+	after := max(0, head.Revision-api.Revision(limit))
+	for after < head.Revision {
+		page, err := l.Read(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Deltas) == 0 {
+			break
+		}
+		found = append(found, page.Deltas...)
+		after = found[len(found)-1].Revision
+	}
+	slices.Reverse(found)
+	return found, nil
+}
+
+// ErrOlder means that the service is at an older revision than the reader, as after a restore from a backup.
+type ErrOlder struct {
+	// Head is that of the service.
+	Head Head
+	// Have is the reader's revision.
+	Have api.Revision
+}
+
+// Error implements error.
+func (e *ErrOlder) Error() string {
+	return fmt.Sprintf("the key-value service is at revision %d, older than %d", e.Head.Revision, e.Have)
+}
+
+// AsErrOlder returns the ErrOlder within err.
+func AsErrOlder(err error) (*ErrOlder, bool) {
+	var older *ErrOlder
+	ok := errors.As(err, &older)
+	return older, ok
+}
+
+// ErrUnsettled means that the log kept changing while it was read.
+type ErrUnsettled struct{ Revision api.Revision }
+
+// Error implements error.
+func (e *ErrUnsettled) Error() string {
+	return fmt.Sprintf("the configuration log did not settle at revision %d", e.Revision)
+}
--- /dev/null
+++ b/internal/dev/deaths_test.go
@@ -0,0 +1,57 @@
+package dev_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestEveryNodeSeesADeath lets a server die that runs nothing: each node sees it once, with the loads that it asks for, and does
+// not take a server that leaves for dead.
+func TestEveryNodeSeesADeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, nil)
+		defer b.close()
+		b.system.LeaveServer("tutor-llm-2")
+		time.Sleep(3 * time.Second)
+		b.net.Kill("127.1.2.1")
+		b.net.Kill("127.1.2.2")
+		time.Sleep(10 * time.Second)
+		for i := range b.system.Nodes() {
+			deaths, ok := b.system.Node(i).Metrics().Get("server_deaths").(metrics.Counter)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Check(t, deaths.Count(), qt.Equals, int64(1))
+		}
+	})
+}
+
+// TestStreamsOutlastDeathsTogether lets two servers and a node die at once: the other nodes' streams wait until the dead node no
+// longer counts as one that could tell what ran on the servers, and go on.
+func TestStreamsOutlastDeathsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, nil)
+		defer b.close()
+		results := b.streamsThrough(2, 24, func() {
+			time.Sleep(midway)
+			b.net.Kill("127.1.2.1")
+			b.net.Kill("127.1.2.4")
+			b.system.KillNode(2)
+		})
+		t.Logf("slowest answer after %s", longest(results))
+		refused := 0
+		for i, result := range results {
+			if result.status == http.StatusGatewayTimeout {
+				// Its first token had not come when the servers died, so that its deadline of 8 s holds.
+				refused++
+				continue
+			}
+			qt.Check(t, result.whole(), qt.IsTrue, qt.Commentf("caller %d after %s: %s", i, result.took, tail(result.body)))
+		}
+		qt.Check(t, refused <= 2, qt.IsTrue, qt.Commentf("%d refused", refused))
+	})
+}
--- /dev/null
+++ b/internal/dev/nodes.go
@@ -0,0 +1,181 @@
+package dev
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonrail/monsoonrail/internal/node"
+	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Secrets of every system that runs in one process; nothing outside of it trusts them.
+const (
+	sessionSecret = "dev-session-secret"
+	peerSecret    = "dev-peer-secret-0"
+	issueSecret   = "dev-issue-secret-0"
+)
+
+// OperatorKey is the key of the operator "dev", who may change everything.
+const OperatorKey = "dev-operator"
+
+func operatorKey() string {
+	return fmt.Sprintf("dev:operate:%x", sha256.Sum256([]byte(OperatorKey)))
+}
+
+// nodeSlot is the place of one node over its incarnations.
+type nodeSlot struct {
+	index int
+
+	mu sync.Mutex
+	// starts counts the runs of the node.
+	starts int
+	node   *node.Node
+	// drain begins the graceful shutdown; done is closed once the node has ended.
+	drain context.CancelFunc
+	done  chan struct{}
+}
+
+// nextIncarnation names the next run of the place's node; it is the same for the same seed.
+func (s *nodeSlot) nextIncarnation(seed uint64) api.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	digest := xxhash.Sum64String(fmt.Sprintf("%d/%d/%d", seed, s.index, s.starts))
+	return api.Incarnation(fmt.Sprintf("%016x", digest))
+}
+
+// kill ends a node at once, as the crash of its process does.
+func (s *nodeSlot) kill() {
+	s.mu.Lock()
+	running, drain, done := s.node, s.drain, s.done
+	s.node = nil
+	s.mu.Unlock()
+	if running == nil {
+		return
+	}
+	running.Close()
+	drain()
+	<-done
+}
+
+// StartNode starts the node of a place anew; the one before must have ended.
+func (s *System) StartNode(ctx context.Context, i int) error {
+	s.mu.Lock()
+	slot := s.nodes[i]
+	s.mu.Unlock()
+	started, err := node.New(ctx, node.Options{
+		Settings:    s.nodeSettings(i),
+		Network:     s.opts.Networks(s.ip(hostNode, i+1)),
+		Log:         s.log,
+		Incarnation: slot.nextIncarnation(s.opts.Seed),
+		Alter:       s.opts.Alter,
+		Seed:        s.opts.Seed + uint64(i) + 1,
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	runCtx, drain := context.WithCancel(s.ctx)
+	done := make(chan struct{})
+	slot.mu.Lock()
+	slot.node, slot.drain, slot.done = started, drain, done
+	slot.mu.Unlock()
+	s.running.Go(func() {
+		defer close(done)
+		if err := started.Run(runCtx); err != nil {
+			s.log.WithError(err).Error("node failed")
+		}
+	})
+	return nil
+}
+
+func (s *System) nodeSettings(i int) setting.Settings {
+	ip := s.ip(hostNode, i+1)
+	platform := fmt.Sprintf("http://%s", s.ip(hostPlatform, 1))
+	settings := setting.Settings{
+		Node: setting.Node{
+			ID:            fmt.Sprintf("node-%d", i+1),
+			FailureDomain: string(s.domain(i)),
+			Region:        s.region(i),
+			Listen:        fmt.Sprintf("%s:%d", ip, callerPort),
+			PeerListen:    fmt.Sprintf("%s:%d", ip, peerPort),
+			AddressKeep:   s.opts.AddressKeep,
+			DrainTimeout:  s.opts.DrainTimeout,
+		},
+		Platform: setting.Platform{
+			KV:               []string{fmt.Sprintf("%s:%d", platform, kvPort)},
+			KVTimeout:        2 * time.Second,
+			VMList:           fmt.Sprintf("%s:%d", platform, vmListPort),
+			Rating:           fmt.Sprintf("%s:%d", platform, ratingPort),
+			RatingsPerSecond: 20,
+			WeightStore:      fmt.Sprintf("%s:%d", platform, weightPort),
+			VMListPoll:       time.Second,
+			LoadPoll:         time.Second,
+			ServerSubset:     40,
+		},
+		Secrets: setting.Secrets{Session: []string{sessionSecret}, Peer: peerSecret, Issue: []string{issueSecret}, Operators: []string{operatorKey()}},
+		Caller: setting.Caller{
+			MaxAnswers: 20_000, MaxAnswerBytes: 4 << 20, MaxKeptBytes: 256 << 20,
+			KeepAnswers: 10 * time.Minute, MaxHeaderBytes: 16 << 10,
+		},
+		Log: s.opts.Log,
+	}
+	if settings.Log.Level == "" {
+		settings.Log.Level = "error"
+	}
+	for peer := range s.opts.Nodes {
+		if peer != i {
+			settings.Node.Seeds = append(settings.Node.Seeds, fmt.Sprintf("%s:%d", s.ip(hostNode, peer+1), peerPort))
+		}
+	}
+	return settings
+}
+
+// Nodes returns the number of places.
+func (s *System) Nodes() int { return s.opts.Nodes }
+
+// Node returns the running node of a place; nil if it was killed or stopped.
+func (s *System) Node(i int) *node.Node {
+	s.mu.Lock()
+	slot := s.nodes[i]
+	s.mu.Unlock()
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	return slot.node
+}
+
+// NodeURL returns the base URL of a place's node.
+func (s *System) NodeURL(i int) string {
+	return fmt.Sprintf("http://%s:%d", s.ip(hostNode, i+1), callerPort)
+}
+
+// KillNode ends a node at once.
+func (s *System) KillNode(i int) {
+	s.mu.Lock()
+	slot := s.nodes[i]
+	s.mu.Unlock()
+	slot.kill()
+}
+
+// DrainNode stops a node gracefully and waits for its end.
+func (s *System) DrainNode(i int) {
+	s.mu.Lock()
+	slot := s.nodes[i]
+	s.mu.Unlock()
+	slot.mu.Lock()
+	running, drain, done := slot.node, slot.drain, slot.done
+	slot.mu.Unlock()
+	if running == nil {
+		return
+	}
+	drain()
+	<-done
+	slot.mu.Lock()
+	slot.node = nil
+	slot.mu.Unlock()
+}
--- /dev/null
+++ b/internal/dev/pools_test.go
@@ -0,0 +1,42 @@
+package dev_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/dev"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// TestEveryNodeFindsServersOfAVersion has two of 80 engines hold a version, so that the subsets of some nodes lack it.
+func TestEveryNodeFindsServersOfAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 8
+		rare := api.VersionID{Model: "professor", Version: "1.4"}
+		b := newBench(t, func(opts *dev.Options) {
+			// The nodes of one failure domain all hear of each other, so that no request is guarded.
+			opts.Config.FailureDomains = opts.Config.FailureDomains[:1]
+			opts.Nodes, opts.Engines, opts.Plains = nodes, 80, 1
+			opts.Holds = func(engine int, version api.VersionID) bool { return version != rare || engine == 0 || engine == 41 }
+		})
+		defer b.close()
+		ask := func() (answered int) {
+			for i := range nodes {
+				resp, _ := b.do(http.MethodPost, b.system.NodeURL(i)+"/v1/chat/completions", nil,
+					`{"model":"`+rare.String()+`","messages":[{"role":"user","content":"Explain this commit"}]}`)
+				if resp.StatusCode == http.StatusOK && resp.Header.Get(api.HeaderVersion) == rare.String() {
+					answered++
+				}
+			}
+			return answered
+		}
+		time.Sleep(3 * time.Second)
+		t.Logf("%d of %d nodes hold the version at first", ask(), nodes)
+		time.Sleep(time.Minute)
+		qt.Assert(t, ask(), qt.Equals, nodes)
+	})
+}
--- /dev/null
+++ b/internal/dev/servers.go
@@ -0,0 +1,148 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/fake/enginefake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/plainfake"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// baseSpeed is the tokens per second of the slowest engine.
+	baseSpeed = 80
+	// speedSteps is how many unlike speeds engines have, each half of baseSpeed faster than the last.
+	speedSteps = 4
+	// prefillSpeed is the prompt tokens per second of each engine.
+	prefillSpeed = 8000
+	// loadLag is the age of load reports.
+	loadLag = 500 * time.Millisecond
+	// plainLatency is the time of a plain call.
+	plainLatency = 10 * time.Millisecond
+)
+
+// serverSlot is the place of one backend server.
+type serverSlot[S http.Handler] struct {
+	listed fleet.Server
+	server S
+}
+
+func (s *System) startServers(ctx context.Context) error {
+	for _, service := range s.opts.Config.Services {
+		var err error
+		if service.Kind == fleet.KindEngine {
+			err = s.startEngines(ctx, service)
+		} else {
+			err = s.startPlains(ctx, service)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEngines(ctx context.Context, service fleet.Service) error {
+	for range s.opts.Engines {
+		n := len(s.engines)
+		listed := s.list(service.Name, hostEngine, n)
+		conns := newOpenConns()
+		server := enginefake.New(enginefake.Options{
+			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Slots: 16,
+			TokensPerSecond: baseSpeed * (1 + float64(n%speedSteps)/2), BatchSlowdown: 0.3,
+			PrefillTokensPerSecond: prefillSpeed, Versions: s.engineVersions(service, n),
+			LoadLag: loadLag, EventLag: loadLag, EventGaps: 0.05, ChecksFencing: service.ChecksFencing, OnDown: conns.closeAll,
+		})
+		s.engines = append(s.engines, &serverSlot[*enginefake.Engine]{listed: listed, server: server})
+		if err := s.serveWith(ctx, s.ip(hostEngine, n+1), serverPort, server, conns); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// engineVersions gives each version that an engine holds the strength that its prior quality promises.
+func (s *System) engineVersions(service fleet.Service, engine int) []enginefake.Version {
+	var versions []enginefake.Version
+	for _, model := range service.Models {
+		for _, version := range model.Versions {
+			id := api.VersionID{Model: model.Name, Version: version.Name}
+			s.Weights.Put(id, weightBytes)
+			if s.opts.Holds != nil && !s.opts.Holds(engine, id) {
+				continue
+			}
+			versions = append(versions, enginefake.Version{
+				ID:       id,
+				Strength: float64(version.PriorQuality),
+				Speed:    1,
+				LoadTime: time.Second,
+			})
+		}
+	}
+	return versions
+}
+
+func (s *System) startPlains(ctx context.Context, service fleet.Service) error {
+	for range s.opts.Plains {
+		n := len(s.plains)
+		listed := s.list(service.Name, hostPlain, n)
+		conns := newOpenConns()
+		server := plainfake.New(plainfake.Options{
+			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Latency: plainLatency, Jitter: plainLatency, OnDown: conns.closeAll,
+		})
+		s.plains = append(s.plains, &serverSlot[*plainfake.Service]{listed: listed, server: server})
+		if err := s.serveWith(ctx, s.ip(hostPlain, n+1), serverPort, server, conns); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) list(service api.Service, group hostGroup, n int) fleet.Server {
+	return fleet.Server{
+		ID:            api.ServerID(fmt.Sprintf("%s-%d", service, n+1)),
+		Service:       service,
+		Address:       fmt.Sprintf("%s:%d", s.ip(group, n+1), serverPort),
+		FailureDomain: s.domain(n),
+	}
+}
+
+// Servers lists every backend server as the VM list does.
+func (s *System) Servers() []fleet.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var listed []fleet.Server
+	for _, slot := range s.engines {
+		listed = append(listed, slot.listed)
+	}
+	for _, slot := range s.plains {
+		listed = append(listed, slot.listed)
+	}
+	return listed
+}
+
+// Engines returns the engines' stand-ins.
+func (s *System) Engines() []*enginefake.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var engines []*enginefake.Engine
+	for _, slot := range s.engines {
+		engines = append(engines, slot.server)
+	}
+	return engines
+}
+
+// Plains returns the plain services' stand-ins.
+func (s *System) Plains() []*plainfake.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var plains []*plainfake.Service
+	for _, slot := range s.plains {
+		plains = append(plains, slot.server)
+	}
+	return plains
+}
--- /dev/null
+++ b/internal/dev/stall_calls_test.go
@@ -0,0 +1,93 @@
+package dev_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/dev"
+	"github.com/monsoonrail/monsoonrail/internal/fake/plainfake"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// plainIP is the address of a server of the plain service.
+func plainIP(i int) string { return fmt.Sprintf("127.1.3.%d", i+1) }
+
+// echo is what a call that was carried out answers of its body.
+func echo(raw []byte) string {
+	var answer plainfake.Answer
+	if json.Unmarshal(raw, &answer) != nil {
+		return ""
+	}
+	return answer.Echo
+}
+
+// TestCallsOutlastStalls lets servers of a plain service stand still for seconds while calls come: a call that may not be repeated
+// runs once at most, none is refused as not run that ran, and every call that may be repeated is answered if its deadline lets it.
+func TestCallsOutlastStalls(t *testing.T) {
+	const callers, plains = 24, 4
+	const deadline = 8 * time.Second
+	for _, test := range []struct {
+		stalled int
+		path    string
+	}{{1, "push"}, {1, "status"}, {2, "push"}, {2, "status"}, {4, "push"}, {4, "status"}} {
+		for _, during := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%d of %d for %s %s", test.stalled, plains, during, test.path), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newBench(t, func(o *dev.Options) { o.Plains = plains })
+					defer b.close()
+					results := make([]streamResult, callers)
+					var calling sync.WaitGroup
+					for i := range callers {
+						calling.Go(func() {
+							time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+							began := time.Now()
+							resp, raw := b.do(http.MethodPost, b.system.NodeURL(i%b.system.Nodes())+"/v1/services/forge-app/"+test.path, nil, fmt.Sprint("call ", i))
+							results[i] = streamResult{status: resp.StatusCode, body: string(raw), took: time.Since(began)}
+						})
+					}
+					time.Sleep(midway)
+					for i := range test.stalled {
+						b.net.Pause(plainIP(i))
+					}
+					time.Sleep(during)
+					for i := range test.stalled {
+						b.net.Resume(plainIP(i))
+					}
+					calling.Wait()
+					if test.stalled == 1 {
+						qt.Check(t, len(b.system.Plains()[0].Runs()) < callers/2, qt.IsTrue)
+					}
+					runs := map[string]int{}
+					for _, plain := range b.system.Plains() {
+						for _, run := range plain.Runs() {
+							runs[run.Body]++
+						}
+					}
+					failed := 0
+					for i, result := range results {
+						body := fmt.Sprint("call ", i)
+						name := qt.Commentf("%s ran %d times, after %s: %s", body, runs[body], result.took, tail(result.body))
+						if result.status != http.StatusOK {
+							failed++
+							qt.Check(t, during > deadline, qt.IsTrue, name)
+							var problem api.Problem
+							qt.Check(t, json.Unmarshal([]byte(result.body), &problem), qt.IsNil, name)
+							qt.Check(t, problem.Outcome != api.OutcomeNotRun || runs[body] == 0, qt.IsTrue, name)
+							continue
+						}
+						qt.Check(t, echo([]byte(result.body)), qt.Equals, body, name)
+						qt.Check(t, test.path != "push" || runs[body] == 1, qt.IsTrue, name)
+					}
+					t.Logf("%d failed, slowest answer after %s", failed, longest(results))
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/dev/system.go
@@ -0,0 +1,270 @@
+// Package dev runs a whole system in one process: nodes in several failure domains and stand-ins for all that they speak with.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/acceptance"
+	"github.com/monsoonrail/monsoonrail/internal/configlog"
+	"github.com/monsoonrail/monsoonrail/internal/fake/enginefake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/plainfake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/ratingfake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/script"
+	"github.com/monsoonrail/monsoonrail/internal/fake/vmlistfake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/weightfake"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/rating"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/weightstore"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("dev")
+
+const (
+	// callerPort and peerPort are those of every node.
+	callerPort = 8080
+	peerPort   = 8081
+	// serverPort is that of every backend server.
+	serverPort = 8000
+	// kvPort is that of the key-value service.
+	kvPort = 2379
+	// ratingPort is that of the rating service and weightPort that of the weight store.
+	ratingPort = 2381
+	weightPort = 2382
+	// weightBytes is the size of every version, weightRate the weight store's bytes a second.
+	weightBytes = 20 << 30
+	weightRate  = 20 << 30
+	// vmListPort is that of the VM list.
+	vmListPort = 2380
+	// defaultNodes is how many nodes a system has.
+	defaultNodes = 3
+)
+
+// Networks yields the network of the host with an IP number.
+type Networks func(ip string) tcp.Network
+
+// Options describes a system.
+type Options struct {
+	// Config is the fleet's configuration; its services decide which stand-ins run.
+	Config *fleet.Config
+	// Networks is the system's network; nil takes the loopback interface.
+	Networks Networks
+	// Prefix holds the first two numbers of every address; empty means "127.1".
+	Prefix string
+	// Nodes is the number of nodes, one failure domain after the other; 0 means 3.
+	Nodes int
+	// Engines and Plains are the numbers of servers of each engine and each plain service; 0 means 6 and 2.
+	Engines int
+	Plains  int
+	// Holds tells which versions an engine has loaded, by its place; nil has each hold all of its service.
+	Holds func(engine int, version api.VersionID) bool
+	// Seed decides everything random.
+	Seed uint64
+	// LogOutput receives the nodes' logs; nil discards them.
+	LogOutput io.Writer
+	Log       setting.Log
+	// Alter changes every node's request path, for tests that break a promise on purpose.
+	Alter func(*router.Options)
+	// DrainTimeout is how long a stopping node waits for its requests; 0 means a minute.
+	DrainTimeout time.Duration
+	// AddressKeep is how long nodes let callers keep addresses; 0 means 2 s.
+	AddressKeep time.Duration
+}
+
+// System is a running system; Close ends it.
+type System struct {
+	opts    Options
+	log     log.Interface
+	cancel  context.CancelFunc
+	ctx     context.Context
+	running sync.WaitGroup
+
+	// KV is the key-value service's stand-in.
+	KV *kvfake.Service
+	// VMs is the VM list's stand-in.
+	VMs *vmlistfake.Service
+	// Ratings and Weights are the stand-ins of the rating service and of the weight store.
+	Ratings *ratingfake.Service
+	Weights *weightfake.Service
+
+	mu sync.Mutex
+	// nodes, engines and plains hold the newest incarnation of each, by its place.
+	nodes   []*nodeSlot
+	engines []*serverSlot[*enginefake.Engine]
+	plains  []*serverSlot[*plainfake.Service]
+}
+
+// Start starts a system.
+func Start(ctx context.Context, opts Options) (*System, error) {
+	opts.setDefaults()
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := &System{
+		opts: opts, cancel: cancel, ctx: runCtx, log: opts.logger(), KV: kvfake.New(), VMs: vmlistfake.New(),
+		Ratings: ratingfake.New(markedQuality), Weights: weightfake.New(weightstore.Rate{BytesPerSecond: weightRate}),
+	}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (o *Options) setDefaults() {
+	if o.Networks == nil {
+		o.Networks = func(string) tcp.Network { return tcp.System{} }
+	}
+	if o.Prefix == "" {
+		o.Prefix = "127.1"
+	}
+	if o.Nodes == 0 {
+		o.Nodes = defaultNodes
+	}
+	if o.Engines == 0 {
+		o.Engines = 6
+	}
+	if o.Plains == 0 {
+		o.Plains = 2
+	}
+	if o.DrainTimeout == 0 {
+		o.DrainTimeout = time.Minute
+	}
+	if o.AddressKeep == 0 {
+		o.AddressKeep = 2 * time.Second
+	}
+}
+
+func (o *Options) logger() log.Interface {
+	if o.LogOutput == nil {
+		return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	}
+	return o.Log.Logger(o.LogOutput)
+}
+
+func (s *System) start(ctx context.Context) error {
+	platform := map[int]http.Handler{kvPort: s.KV, vmListPort: s.VMs, ratingPort: s.Ratings, weightPort: s.Weights}
+	for _, port := range slices.Sorted(maps.Keys(platform)) {
+		if err := s.serve(ctx, s.ip(hostPlatform, 1), port, platform[port]); err != nil {
+			return err
+		}
+	}
+	if err := s.startServers(ctx); err != nil {
+		return err
+	}
+	s.listVMs()
+	if err := s.acceptFirst(ctx); err != nil {
+		return err
+	}
+	for i := range s.opts.Nodes {
+		s.nodes = append(s.nodes, &nodeSlot{index: i})
+		if err := s.StartNode(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// markedQuality rates an answer by the mark that stand-in engines put into it.
+func markedQuality(s rating.Submission) api.Quality {
+	quality, _ := script.ParseQuality(s.Answer)
+	return quality
+}
+
+// hostGroup is the third number of an address.
+type hostGroup int
+
+const (
+	hostPlatform hostGroup = iota
+	hostNode
+	hostEngine
+	hostPlain
+)
+
+func (s *System) ip(group hostGroup, n int) string {
+	return fmt.Sprintf("%s.%d.%d", s.opts.Prefix, group, n)
+}
+
+// serve runs a handler on an address until the system ends.
+func (s *System) serve(ctx context.Context, ip string, port int, handler http.Handler) error {
+	return s.serveWith(ctx, ip, port, handler, newOpenConns())
+}
+
+// serveWith serves a stand-in whose connections can be ended.
+func (s *System) serveWith(ctx context.Context, ip string, port int, handler http.Handler, conns *openConns) error {
+	listener, err := s.opts.Networks(ip).Listen(ctx, fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnState: conns.track}
+	s.running.Go(func() { s.serveUntilEnd(server, listener) })
+	return nil
+}
+
+func (s *System) serveUntilEnd(server *http.Server, listener net.Listener) {
+	stop := context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(listener)
+}
+
+// domain returns the failure domain of the nth VM, one after the other.
+func (s *System) domain(n int) api.FailureDomain {
+	domains := s.opts.Config.FailureDomains
+	if len(domains) == 0 {
+		return "only"
+	}
+	return domains[n%len(domains)].Name
+}
+
+// region returns the region of the nth VM.
+func (s *System) region(n int) string {
+	domains := s.opts.Config.FailureDomains
+	if len(domains) == 0 {
+		return ""
+	}
+	return string(domains[n%len(domains)].Region)
+}
+
+// acceptFirst puts the configuration into the key-value service as its first accepted change.
+func (s *System) acceptFirst(ctx context.Context) error {
+	changes := configlog.New(s.KV.Store(), configlog.DefaultPrefix)
+	_, err := acceptance.New(changes, nil, s.log).Accept(ctx, fleet.Change{
+		ID: "first", Author: "dev", Reason: "configuration at the start", Ops: fleet.NewState().Ops(s.opts.Config),
+	})
+	return Error.Wrap(err)
+}
+
+// Close ends every node at once and every stand-in, and waits for them.
+func (s *System) Close() {
+	s.mu.Lock()
+	nodes := s.nodes
+	s.mu.Unlock()
+	for _, slot := range nodes {
+		slot.kill()
+	}
+	s.mu.Lock()
+	for _, slot := range s.engines {
+		slot.server.Close()
+	}
+	for _, slot := range s.plains {
+		slot.server.Close()
+	}
+	s.mu.Unlock()
+	s.cancel()
+	s.running.Wait()
+}
--- /dev/null
+++ b/internal/dev/vms.go
@@ -0,0 +1,78 @@
+package dev
+
+import (
+	"fmt"
+
+	"github.com/monsoonrail/monsoonrail/internal/vmlist"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// listVMs puts every VM on the VM list.
+func (s *System) listVMs() {
+	for _, server := range s.Servers() {
+		s.VMs.Put(vmlist.VM{
+			ID: string(server.ID), Address: server.Address, FailureDomain: server.FailureDomain,
+			Role: vmlist.RoleServer, Service: server.Service, State: vmlist.StateLive,
+		})
+	}
+	for i := range s.opts.Nodes {
+		s.VMs.Put(vmlist.VM{
+			ID: fmt.Sprintf("node-%d", i+1), Address: fmt.Sprintf("%s:%d", s.ip(hostNode, i+1), callerPort),
+			FailureDomain: s.domain(i), Role: vmlist.RoleEntry, State: vmlist.StateLive,
+		})
+	}
+}
+
+// LeaveServer takes a backend server out of service as an operator does: the VM list says so and the server refuses
+// new work.
+func (s *System) LeaveServer(id api.ServerID) {
+	s.setLeaving(id, true)
+	s.VMs.SetState(string(id), vmlist.StateLeaving)
+}
+
+// JoinServer takes LeaveServer back.
+func (s *System) JoinServer(id api.ServerID) {
+	s.setLeaving(id, false)
+	s.VMs.SetState(string(id), vmlist.StateLive)
+}
+
+func (s *System) setLeaving(id api.ServerID, leaving bool) {
+	for _, engine := range s.Engines() {
+		if engine.ID() == id {
+			engine.Leave(leaving)
+		}
+	}
+	for _, plain := range s.Plains() {
+		if plain.ID() == id {
+			plain.Leave(leaving)
+		}
+	}
+}
+
+// KillServer ends a backend server's life; RestartServer begins another.
+func (s *System) KillServer(id api.ServerID) {
+	for _, engine := range s.Engines() {
+		if engine.ID() == id {
+			engine.Kill()
+		}
+	}
+	for _, plain := range s.Plains() {
+		if plain.ID() == id {
+			plain.Kill()
+		}
+	}
+}
+
+// RestartServer begins another life of a killed backend server.
+func (s *System) RestartServer(id api.ServerID) {
+	for _, engine := range s.Engines() {
+		if engine.ID() == id {
+			engine.Restart()
+		}
+	}
+	for _, plain := range s.Plains() {
+		if plain.ID() == id {
+			plain.Restart()
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/errors.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("engine")
+
+// RefusalCause is the cause that an engine names when it refuses work.
+type RefusalCause string
+
+// Causes of refusals.
+const (
+	RefusedLeaving   RefusalCause = "Leaving"
+	RefusedNotLoaded RefusalCause = "NotLoaded"
+	RefusedFull      RefusalCause = "Full"
+)
+
+// ErrNotSent means that no byte of the request left this node.
+type ErrNotSent struct{ Cause error }
+
+// Error implements error.
+func (e *ErrNotSent) Error() string { return fmt.Sprintf("not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ErrNotSent) Unwrap() error { return e.Cause }
+
+// IsErrNotSent reports whether err says that no byte of the request left this node.
+func IsErrNotSent(err error) bool {
+	var target *ErrNotSent
+	return errors.As(err, &target)
+}
+
+// ErrRefused means that the engine answered without running the request.
+type ErrRefused struct {
+	Status int
+	Cause  RefusalCause
+	Detail string
+}
+
+// Error implements error.
+func (e *ErrRefused) Error() string {
+	return fmt.Sprintf("refused with status %d %s: %s", e.Status, e.Cause, e.Detail)
+}
+
+// AsErrRefused returns the refusal that err holds.
+func AsErrRefused(err error) (*ErrRefused, bool) {
+	var target *ErrRefused
+	return target, errors.As(err, &target)
+}
+
+// ErrBroken means that the connection broke or went silent after the request was sent.
+type ErrBroken struct {
+	Cause error
+	// Silent tells that nothing came for too long, although the connection stayed open.
+	Silent bool
+}
+
+// Error implements error.
+func (e *ErrBroken) Error() string {
+	return fmt.Sprintf("connection broke (silent %t): %v", e.Silent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Cause }
+
+// IsErrSilent reports whether err says that an open connection went silent. It is asked after each chunk, and costs nothing
+// where there is no error.
+func IsErrSilent(err error) bool {
+	if err == nil {
+		return false
+	}
+	var target *ErrBroken
+	return errors.As(err, &target) && target.Silent
+}
+
+// ErrBadStream means that the engine's stream doesn't follow its protocol.
+type ErrBadStream struct{ Detail string }
+
+// Error implements error.
+func (e *ErrBadStream) Error() string { return "bad stream: " + e.Detail }
+
+// IsErrBroken reports whether err says that a connection broke or went silent after the request was sent.
+func IsErrBroken(err error) bool {
+	var target *ErrBroken
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/internal/fake/kvfake/store.go
@@ -0,0 +1,133 @@
+package kvfake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/kv/kvwire"
+)
+
+// store reaches a Service without HTTP.
+type store struct{ service *Service }
+
+// Store returns the service as its users see it, in process and with the same faults.
+func (s *Service) Store() kv.Store { return store{s} }
+
+// run makes a call whose effect outlives its caller: a call that the service holds back is given up when ctx ends.
+func run[T any](ctx context.Context, s *Service, kind CallKind, apply func() (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	answers := make(chan answer, 1)
+	s.underWay.Add(1)
+	go func() {
+		defer s.underWay.Done()
+		var a answer
+		a.err = s.call(ctx, kind, func() (err error) {
+			a.value, err = apply()
+			return err
+		})
+		answers <- a
+	}()
+	select {
+	case a := <-answers:
+		return a.value, a.err
+	case <-ctx.Done():
+		var none T
+		return none, errLost
+	}
+}
+
+// Get implements kv.Store.
+func (s store) Get(ctx context.Context, key string) (kv.Pair, error) {
+	pair, err := run(ctx, s.service, CallRead, func() (kv.Pair, error) {
+		if found, _, _ := s.service.find(key, "", 0); len(found) > 0 {
+			return found[0], nil
+		}
+		return kv.Pair{Key: key}, nil
+	})
+	return pair, readError(err)
+}
+
+// List implements kv.Store.
+func (s store) List(ctx context.Context, opts kv.ListOptions) (kv.ListResult, error) {
+	result, err := run(ctx, s.service, CallRead, func() (result kv.ListResult, err error) {
+		from := max(opts.From, opts.Prefix)
+		result.Pairs, result.More, result.Revision = s.service.find(from, string(kvwire.PrefixEnd(opts.Prefix)), opts.Limit)
+		return result, nil
+	})
+	return result, readError(err)
+}
+
+// Commit implements kv.Store.
+func (s store) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	result, err := run(ctx, s.service, CallWrite, func() (kv.TxnResult, error) { return s.service.commit(txn) })
+	return result, writeError(err)
+}
+
+// Grant implements kv.Store.
+func (s store) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
+	granted, err := run(ctx, s.service, CallLease, func() (kv.Lease, error) { return s.service.grant(ttl), nil })
+	return granted, writeError(err)
+}
+
+// KeepAlive implements kv.Store.
+func (s store) KeepAlive(ctx context.Context, id kv.LeaseID) (kv.Lease, error) {
+	kept, err := run(ctx, s.service, CallLease, func() (kv.Lease, error) { return s.service.keepAlive(id) })
+	return kept, writeError(err)
+}
+
+// Revoke implements kv.Store.
+func (s store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	_, err := run(ctx, s.service, CallLease, func() (struct{}, error) { return struct{}{}, s.service.revoke(id) })
+	return writeError(err)
+}
+
+// Watch implements kv.Store.
+func (s store) Watch(ctx context.Context, prefix string, from kv.Version, handle func(kv.WatchBatch) error) error {
+	_, err := run(ctx, s.service, CallWatch, func() (struct{}, error) { return struct{}{}, nil })
+	if err != nil {
+		return readError(err)
+	}
+	if revision := s.service.Revision(); from > revision+1 {
+		return kv.Error.Wrap(&kv.ErrServiceOlder{Asked: from, Revision: revision})
+	}
+	err = s.service.watch(ctx, inRange(prefix, string(kvwire.PrefixEnd(prefix))), from, handle)
+	if errors.Is(err, errLost) || kv.IsErrCompacted(err) {
+		return readError(err)
+	}
+	return err
+}
+
+func (s *Service) find(from, end string, limit int) ([]kv.Pair, bool, kv.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pairs, more := s.data.find(from, end, limit)
+	return pairs, more, s.data.revision
+}
+
+func (s *Service) commit(txn kv.Txn) (kv.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.data.commit(txn)
+}
+
+// readError says what a caller sees of a failed call that changes nothing.
+func readError(err error) error {
+	var failed callError
+	if errors.As(err, &failed) {
+		return kv.Error.Wrap(&kv.ErrUnavailable{Cause: err})
+	}
+	return kv.Error.Wrap(err)
+}
+
+// writeError says what a caller sees of a failed call that may change something.
+func writeError(err error) error {
+	if errors.Is(err, errLost) {
+		return kv.Error.Wrap(&kv.ErrUnknownOutcome{Cause: err})
+	}
+	return readError(err)
+}
--- /dev/null
+++ b/internal/fake/listnodes/group.go
@@ -0,0 +1,153 @@
+// Package listnodes runs the parts of nodes that read the VM list and pass on who leaves, on a network in memory.
+package listnodes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
+	"github.com/monsoonrail/monsoonrail/internal/fake/vmlistfake"
+	"github.com/monsoonrail/monsoonrail/internal/peer"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/vmlist"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("listnodes")
+
+const (
+	peerPort = 8081
+	listPort = 2380
+	// ListIP is the address of the platform.
+	ListIP = "10.9.0.1"
+)
+
+// Options describes a group.
+type Options struct {
+	Network *memnet.Network
+	// List is what the nodes read.
+	List    *vmlistfake.Service
+	Nodes   int
+	Domains int
+	// IsAlone keeps the nodes from passing on what they read.
+	IsAlone bool
+	// BytesPerSecond is that of vmlist.PollerOptions.
+	BytesPerSecond int
+}
+
+// Node reads the list and talks with the other nodes.
+type Node struct {
+	*vmlist.Poller
+	IP      string
+	Metrics metrics.Registry
+}
+
+// Group is a number of nodes that run.
+type Group struct {
+	opts  Options
+	Nodes []*Node
+	log   log.Interface
+	stop  context.CancelFunc
+	// running counts the goroutines of all nodes.
+	running sync.WaitGroup
+	closes  []func()
+}
+
+// Start runs a group until Close.
+func Start(opts Options) (*Group, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Group{opts: opts, log: &log.Logger{Handler: discard.New()}, stop: stop}
+	if err := g.serve(ctx, ListIP, listPort, opts.List); err != nil {
+		g.Close()
+		return nil, err
+	}
+	for i := range opts.Nodes {
+		if err := g.startNode(ctx, i); err != nil {
+			g.Close()
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// Close ends all nodes and waits for them.
+func (g *Group) Close() {
+	g.stop()
+	for _, end := range g.closes {
+		end()
+	}
+	g.running.Wait()
+}
+
+func ipOf(i int) string { return fmt.Sprintf("10.0.%d.%d", i/200, i%200+1) }
+
+func (g *Group) domainOf(i int) api.FailureDomain {
+	return api.FailureDomain(fmt.Sprint("domain-", i%g.opts.Domains))
+}
+
+func (g *Group) seeds() []peer.Seed {
+	var seeds []peer.Seed
+	for i := range g.opts.Nodes {
+		seeds = append(seeds, peer.Seed{PeerAddress: fmt.Sprint(ipOf(i), ":", peerPort), FailureDomain: g.domainOf(i)})
+	}
+	return seeds
+}
+
+func (g *Group) startNode(ctx context.Context, i int) error {
+	node := &Node{IP: ipOf(i), Metrics: metrics.NewRegistry()}
+	network := g.opts.Network.Host(node.IP)
+	exchange, err := peer.New(peer.Options{
+		Self: peer.Member{
+			Node: api.NodeID(fmt.Sprint("node-", i)), Incarnation: api.Incarnation(fmt.Sprint("run-", i)), Started: time.Now(),
+			Address: node.IP + ":80", PeerAddress: fmt.Sprint(node.IP, ":", peerPort), FailureDomain: g.domainOf(i), Region: "region",
+		},
+		Keys: peer.Keys{[]byte("shared")}, Seeds: g.seeds, Network: network, Log: g.log, Metrics: node.Metrics,
+		Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	transport := tcp.NewTransport(network)
+	g.closes = append(g.closes, transport.CloseIdleConnections)
+	opts := vmlist.PollerOptions{
+		Client:         vmlist.NewClient(fmt.Sprintf("http://%s:%d", ListIP, listPort), &http.Client{Transport: transport}),
+		BytesPerSecond: g.opts.BytesPerSecond, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Log: g.log, Metrics: node.Metrics,
+	}
+	if !g.opts.IsAlone {
+		opts.OnNews = func() { exchange.Notify(vmlist.TopicName) }
+	}
+	node.Poller = vmlist.NewPoller(opts)
+	if !g.opts.IsAlone {
+		exchange.Register(node.Topic())
+	}
+	mux := http.NewServeMux()
+	mux.Handle(exchange.Handler())
+	if err := g.serve(ctx, node.IP, peerPort, mux); err != nil {
+		return err
+	}
+	g.running.Go(func() { _ = exchange.Run(ctx) })
+	g.running.Go(func() { _ = node.Run(ctx) })
+	g.Nodes = append(g.Nodes, node)
+	return nil
+}
+
+func (g *Group) serve(ctx context.Context, ip string, port int, handler http.Handler) error {
+	listener, err := g.opts.Network.Host(ip).Listen(ctx, fmt.Sprint(ip, ":", port))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	web := &http.Server{Handler: handler, Protocols: tcp.WithoutTLS()}
+	g.running.Go(func() { _ = web.Serve(listener) })
+	g.closes = append(g.closes, func() { _ = web.Close() })
+	return nil
+}
--- /dev/null
+++ b/internal/fake/memnet/conn.go
@@ -0,0 +1,123 @@
+package memnet
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is one end of a connection.
+type conn struct {
+	network       *Network
+	local, remote *net.TCPAddr
+	// in carries the peer's bytes and out this end's.
+	in, out *lane
+	closing sync.Once
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) { return c.in.read(p) }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
+
+// Close implements net.Conn; what was written before is still delivered.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.closing.Do(func() {
+		err = nil
+		c.network.forget(c)
+		c.in.closeReader(c.out.closeWriter())
+	})
+	return err
+}
+
+// CloseWrite ends the bytes to the peer and leaves the other direction open.
+func (c *conn) CloseWrite() error {
+	c.out.closeWriter()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// reset breaks both directions; bytes on their way are lost.
+func (c *conn) reset() {
+	c.in.fail(syscall.ECONNRESET)
+	c.out.fail(syscall.ECONNRESET)
+}
+
+// listener accepts the connections to one port.
+type listener struct {
+	host    *Host
+	address *net.TCPAddr
+	queue   chan *conn
+	closed  chan struct{}
+	closing sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: net.ErrClosed}
+	default:
+	}
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: net.ErrClosed}
+	}
+}
+
+// Close implements net.Listener; connections that wait for Accept are reset.
+func (l *listener) Close() error {
+	l.host.network.mu.Lock()
+	defer l.host.network.mu.Unlock()
+	l.close()
+	return nil
+}
+
+// close ends the listener; the caller holds the network's lock.
+func (l *listener) close() {
+	l.closing.Do(func() {
+		close(l.closed)
+		delete(l.host.listeners, l.address.Port)
+		for {
+			select {
+			case c := <-l.queue:
+				c.reset()
+				delete(l.host.network.conns, c)
+			default:
+				return
+			}
+		}
+	})
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/internal/fake/memnet/faults.go
@@ -0,0 +1,105 @@
+package memnet
+
+import "time"
+
+// Cut makes dials between two hosts fail at once and resets their open connections.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changeBoth(a, b, func(s *linkState) { s.cut = true })
+	for c := range n.conns {
+		if c.joins(a, b) || c.joins(b, a) {
+			c.reset()
+		}
+	}
+}
+
+// Blackhole makes dials between two hosts hang until they time out and silences their open connections.
+func (n *Network) Blackhole(a, b string) {
+	n.mu.Lock()
+	n.changeBoth(a, b, func(s *linkState) { s.blackhole = true })
+	n.mu.Unlock()
+	n.Silence(a, b)
+}
+
+// Heal ends Cut and Blackhole for new connections; old ones stay as they are.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changeBoth(a, b, func(s *linkState) { s.cut, s.blackhole = false, false })
+}
+
+// Silence makes all bytes of the open connections between two hosts vanish from now on, their ends included;
+// new connections work.
+func (n *Network) Silence(a, b string) {
+	n.SilenceOneWay(a, b)
+	n.SilenceOneWay(b, a)
+}
+
+// SilenceOneWay does as Silence for the bytes that travel from one host to the other.
+func (n *Network) SilenceOneWay(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.joins(from, to) {
+			c.out.silence()
+		}
+		if c.joins(to, from) {
+			c.in.silence()
+		}
+	}
+}
+
+// Delay sets the one-way delay between two hosts, for dials and for open and new connections.
+func (n *Network) Delay(a, b string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.changeBoth(a, b, func(s *linkState) { s.delay = d })
+	for c := range n.conns {
+		if c.joins(a, b) || c.joins(b, a) {
+			c.in.setDelay(d)
+			c.out.setDelay(d)
+		}
+	}
+}
+
+// Kill closes the host's listeners and resets its connections, as the crash of its process does; what is
+// silent stays so for the peer. The host may listen again at once.
+func (n *Network) Kill(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if host := n.hosts[ip]; host != nil {
+		for _, l := range host.listeners {
+			l.close()
+		}
+	}
+	for c := range n.conns {
+		if c.local.IP.String() == ip {
+			c.kill()
+			delete(n.conns, c)
+		}
+	}
+}
+
+// kill breaks the connection for this end, and for the peer unless the way to it is silent.
+func (c *conn) kill() {
+	if !c.out.isSilent() {
+		c.reset()
+		return
+	}
+	c.in.closeReader(false)
+	c.out.closeWriter()
+}
+
+func (n *Network) changeBoth(a, b string, change func(*linkState)) {
+	for _, l := range []link{{a, b}, {b, a}} {
+		state := n.links[l]
+		change(&state)
+		n.links[l] = state
+	}
+}
+
+// joins reports whether c is the end at host "from" of a connection with host "to".
+func (c *conn) joins(from, to string) bool {
+	return c.local.IP.String() == from && c.remote.IP.String() == to
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"cmp"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// File is a configuration file with its content.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Load reads, merges and checks the configuration in files and directories; of a directory it takes the
+// .yaml and .yml files, without its subdirectories. The revision of what it returns is 0.
+func Load(paths ...string) (*Config, error) {
+	var names []string
+	for _, path := range paths {
+		found, err := filesOf(path)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		names = append(names, found...)
+	}
+	if len(names) == 0 {
+		return nil, Error.Wrap(&ErrNoFiles{Paths: paths})
+	}
+	files := make([]File, 0, len(names))
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		files = append(files, File{Name: name, Data: data})
+	}
+	return Decode(files...)
+}
+
+// filesOf returns the path itself, or the configuration files of a directory.
+func filesOf(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range entries {
+		ext := filepath.Ext(entry.Name())
+		if !entry.IsDir() && (ext == ".yaml" || ext == ".yml") {
+			names = append(names, filepath.Join(path, entry.Name()))
+		}
+	}
+	return names, nil
+}
+
+// Decode merges and checks files. A single-valued section (Fleet, FailureDomains, Defaults) stands in one file only;
+// Services, Teams and Exceptions may be spread over several.
+func Decode(files ...File) (*Config, error) {
+	dec := &decoder{positions: make(map[string]Position)}
+	config := new(Config)
+	for _, file := range files {
+		dec.file = file.Name
+		dec.decodeFile(file.Data, config)
+	}
+	if len(dec.problems) > 0 {
+		return nil, Error.Wrap(&ErrInvalid{Problems: dec.problems})
+	}
+	config.Sort()
+	problems := config.problems()
+	if len(problems) == 0 {
+		return config, nil
+	}
+	for i := range problems {
+		problems[i].Position = dec.positionOf(problems[i].Path)
+	}
+	return nil, Error.Wrap(&ErrInvalid{Problems: problems})
+}
+
+// Sort puts every list whose order has no meaning into the order of its names.
+func (c *Config) Sort() {
+	slices.SortStableFunc(c.FailureDomains, func(a, b FailureDomain) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(c.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(c.Teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortStableFunc(c.Exceptions, func(a, b Exception) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range c.Services {
+		models := c.Services[i].Models
+		slices.SortStableFunc(models, func(a, b Model) int { return cmp.Compare(a.Name, b.Name) })
+		for j := range models {
+			slices.SortStableFunc(models[j].Versions, func(a, b Version) int { return cmp.Compare(a.Name, b.Name) })
+		}
+	}
+}
+
+// positionOf returns the position of the nearest setting that encloses a path.
+func (d *decoder) positionOf(path string) Position {
+	for path != "" {
+		if position, ok := d.positions[path]; ok {
+			return position
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return Position{}
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// MaxSnapshotBytes bounds a decoded snapshot.
+const MaxSnapshotBytes = 64 << 20
+
+// snapshot is the content of an encoded state.
+type snapshot struct {
+	Revision api.Revision
+	ChangeID ChangeID
+	// Entities is ordered.
+	Entities []Op
+}
+
+// Encode returns the state as compressed JSON; equal states yield equal bytes.
+func (s *State) Encode() []byte {
+	content := snapshot{Revision: s.Revision(), ChangeID: s.ChangeID}
+	for id, value := range s.entities {
+		content.Entities = append(content.Entities, Op{EntityID: id, Value: value})
+	}
+	sortOps(content.Entities)
+	var out bytes.Buffer
+	writer := gzip.NewWriter(&out)
+	// Writes to memory can't fail.
+	_, _ = writer.Write(mustMarshal(content))
+	_ = writer.Close()
+	return out.Bytes()
+}
+
+// DecodeState reads what State.Encode wrote.
+func DecodeState(data []byte) (*State, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, corruptSnapshot(err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, MaxSnapshotBytes+1))
+	if err != nil {
+		return nil, corruptSnapshot(err)
+	}
+	if len(plain) > MaxSnapshotBytes {
+		return nil, corruptSnapshot(io.ErrShortBuffer)
+	}
+	var content snapshot
+	if err := json.Unmarshal(plain, &content); err != nil {
+		return nil, corruptSnapshot(err)
+	}
+	if content.Revision < 0 {
+		return nil, corruptSnapshot(&ErrNotNext{Got: content.Revision})
+	}
+	return NewState().with(content.Revision, content.ChangeID, content.Entities)
+}
+
+func corruptSnapshot(cause error) error {
+	return Error.Wrap(&ErrCorrupt{What: "snapshot", Cause: cause})
+}
+
+// Split cuts data into chunks of at most size bytes; there is always at least one.
+func Split(data []byte, size int) [][]byte {
+	var chunks [][]byte
+	for len(data) > size {
+		chunks = append(chunks, data[:size])
+		data = data[size:]
+	}
+	return append(chunks, data)
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,158 @@
+// Package follower keeps a node's copy of the configuration at the highest revision that was ever seen. A few nodes of
+// each failure domain watch the key-value service; the others learn of changes from their peers.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/monsoonrail/monsoonrail/internal/configlog"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/peer"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("follower")
+
+// Peers is the part of the peer exchange that a follower uses.
+type Peers interface {
+	Members() []peer.Member
+	FetchConfig(ctx context.Context, from peer.Member, after api.Revision) (snapshot []byte, deltas [][]byte, err error)
+	Notify(topic string)
+}
+
+// Options are the settings of a follower.
+type Options struct {
+	// Self is this node's member record.
+	Self    peer.Member
+	Log     *configlog.Log
+	Logger  log.Interface
+	Metrics metrics.Registry
+	Rand    *rand.Rand
+}
+
+// Follower is a node's copy of the configuration. It is a peer.Topic and a peer.ConfigSource.
+type Follower struct {
+	opts   Options
+	log    log.Interface
+	meters *meters
+	peers  Peers
+	// hints carries a peer that has a newer revision; when full, further ones are dropped, since peers repeat themselves.
+	hints chan peer.Member
+
+	// current is what replica.state was last published as.
+	current atomic.Pointer[fleet.State]
+
+	mu      sync.Mutex
+	replica replica
+	changed chan struct{}
+	status  Status
+	rand    *rand.Rand
+	// snapshot is the encoded state of revision snapshotOf.
+	snapshot   []byte
+	snapshotOf *fleet.State
+}
+
+// New returns a follower without a configuration.
+func New(opts Options) *Follower {
+	f := &Follower{
+		opts:    opts,
+		log:     opts.Logger,
+		meters:  newMeters(opts.Metrics),
+		hints:   make(chan peer.Member, 1),
+		replica: replica{state: fleet.NewState()},
+		changed: make(chan struct{}),
+		status:  Status{Service: ServiceUnknown},
+		rand:    opts.Rand,
+	}
+	f.current.Store(f.replica.state)
+	return f
+}
+
+// SetPeers connects the follower with the peer exchange; it must be called before Run.
+func (f *Follower) SetPeers(peers Peers) { f.peers = peers }
+
+// Current returns the configuration in force; its revision is 0 until the first one has come.
+func (f *Follower) Current() *fleet.Config { return f.State().Config }
+
+// State returns the configuration in force with its entities.
+func (f *Follower) State() *fleet.State { return f.current.Load() }
+
+// Changed returns a channel that is closed at the next change. A caller gets the channel before it reads Current, so as
+// to miss none.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Offer takes in a delta that was just accepted by this node.
+func (f *Follower) Offer(delta fleet.Delta) {
+	// What does not fit yet comes again by the watch or from a peer.
+	if err := f.Apply([]fleet.Delta{delta}); err != nil && !fleet.IsErrNotNext(err) {
+		f.log.WithError(err).WithField("revision", delta.Revision).Error("accepted change not applied")
+	}
+}
+
+// Apply implements configlog.Replica: it applies deltas and tells the peers.
+func (f *Follower) Apply(deltas []fleet.Delta) error {
+	applied, err := f.take(deltas)
+	if applied > 0 {
+		f.tellPeers()
+	}
+	return err
+}
+
+// Adopt implements configlog.Replica: it takes a newer state whose deltas are not at hand.
+func (f *Follower) Adopt(state *fleet.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replica.adopt(state) {
+		f.publish()
+	}
+}
+
+func (f *Follower) take(deltas []fleet.Delta) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	applied, err := f.replica.apply(deltas, time.Now())
+	if applied > 0 {
+		f.publish()
+	}
+	if fleet.IsErrForked(err) {
+		f.raise(ServiceForked, err)
+	}
+	return applied, err
+}
+
+// publish makes the replica's state the one in force; the caller holds the lock.
+func (f *Follower) publish() {
+	f.current.Store(f.replica.state)
+	f.status.Since = time.Now()
+	f.meters.revision.Update(int64(f.replica.state.Revision()))
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Follower) tellPeers() {
+	if f.peers != nil {
+		f.peers.Notify(topicName)
+	}
+}
+
+// Run follows the log and the peers until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.runFetches(ctx) })
+	group.Go(func() error { return f.runWatchDuty(ctx) })
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,159 @@
+// Package guard keeps watch over requests that crash backend servers: it remembers what runs where, and tells the
+// peers at once when a server died.
+package guard
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/poison"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Guard is a poison.Guard that many goroutines may use.
+type Guard struct {
+	mu    sync.Mutex
+	guard *poison.Guard
+	// running counts this node's runs of each fingerprint on each server.
+	running map[api.ServerID]map[poison.Fingerprint]int
+	// down holds when servers died that haven't answered since; after poison.ReleaseAfter they are forgotten.
+	down map[api.ServerID]time.Time
+	// changed is called, without locks held, when the peers must be told.
+	changed func()
+}
+
+// New returns a guard; changed may be nil.
+func New(now time.Time, changed func()) *Guard {
+	if changed == nil {
+		changed = func() {}
+	}
+	return &Guard{
+		guard: poison.NewGuard(now), running: make(map[api.ServerID]map[poison.Fingerprint]int),
+		down: make(map[api.ServerID]time.Time), changed: changed,
+	}
+}
+
+// Judge says how a request may be dispatched, and for a refusal when another try has a chance.
+func (g *Guard) Judge(f poison.Fingerprint, now time.Time) (poison.Verdict, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Judge(f, now)
+}
+
+// Place returns the one server of a pool on which a guarded request may run.
+func (g *Guard) Place(f poison.Fingerprint, pool []poison.Member, now time.Time) (api.ServerID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Place(f, pool, now)
+}
+
+// RetryAfter returns when a request for which Place found no server has a chance again.
+func (g *Guard) RetryAfter(f poison.Fingerprint, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.RetryAfter(f, now)
+}
+
+// Begin notes that a request runs on a server, until the function that it returns is called.
+func (g *Guard) Begin(server api.ServerID, f poison.Fingerprint) (end func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running[server] == nil {
+		g.running[server] = make(map[poison.Fingerprint]int)
+	}
+	g.running[server][f]++
+	return func() { g.end(server, f) }
+}
+
+func (g *Guard) end(server api.ServerID, f poison.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[server][f]--
+	if g.running[server][f] <= 0 {
+		delete(g.running[server], f)
+	}
+	if len(g.running[server]) == 0 {
+		delete(g.running, server)
+	}
+}
+
+// Crashed notes that a server died while it ran what Begin was called for. It reports whether the death was not known yet.
+func (g *Guard) Crashed(server api.ServerID, now time.Time) (isNew bool) {
+	g.mu.Lock()
+	running := slices.Sorted(maps.Keys(g.running[server]))
+	at, isNew := g.noteDown(server, now)
+	g.guard.Crashed(server, running, at)
+	g.mu.Unlock()
+	g.changed()
+	return isNew
+}
+
+// Died notes that a server died, whether or not it ran requests of this node. It reports whether the death was not known yet.
+func (g *Guard) Died(server api.ServerID, now time.Time) (isNew bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, isNew := g.noteDown(server, now)
+	g.guard.Died(server, at)
+	return isNew
+}
+
+// noteDown returns the time of a death that is seen now, and whether it is seen first: the end of a connection, a stream and a load
+// report may each tell of the same one, and it counts from the first of them, so that the deaths of several servers keep their order.
+func (g *Guard) noteDown(server api.ServerID, now time.Time) (at time.Time, isNew bool) {
+	at, ok := g.down[server]
+	isNew = !ok || now.Sub(at) > poison.NoticeWithin
+	if isNew {
+		at = now
+	}
+	g.down[server] = at
+	maps.DeleteFunc(g.down, func(_ api.ServerID, at time.Time) bool { return now.Sub(at) >= poison.ReleaseAfter })
+	return at, isNew
+}
+
+// IsDown reports whether a server died and hasn't answered since.
+func (g *Guard) IsDown(server api.ServerID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, down := g.down[server]
+	return down
+}
+
+// Answered notes that a server is up, so that its next death is another one.
+func (g *Guard) Answered(server api.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.down, server)
+}
+
+// Finished notes that a request ran to its end.
+func (g *Guard) Finished(f poison.Fingerprint, now time.Time) {
+	g.mu.Lock()
+	_, cleared := g.guard.Finished(f, now)
+	g.mu.Unlock()
+	if cleared {
+		g.changed()
+	}
+}
+
+// Heard notes that the news of every live peer as of a time has been merged.
+func (g *Guard) Heard(asOf time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.Heard(asOf)
+}
+
+// Merge takes in suspicions that a peer sent.
+func (g *Guard) Merge(told []poison.Suspicion) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.Merge(told)
+}
+
+// Suspicions returns all that is known against fingerprints, for a peer.
+func (g *Guard) Suspicions(now time.Time) []poison.Suspicion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Suspicions(now)
+}
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,92 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/guard"
+	"github.com/monsoonrail/monsoonrail/internal/poison"
+)
+
+// TestCrashSuspectsWhatRuns suspects what ran on a server when it died, not what had ended or ran elsewhere, and tells
+// the peers at once.
+func TestCrashSuspectsWhatRuns(t *testing.T) {
+	now := time.Date(2026, time.December, 3, 8, 0, 0, 0, time.UTC)
+	told := 0
+	own, peer := guard.New(now, func() { told++ }), guard.New(now, nil)
+	running, twice, ended, elsewhere := poison.FingerprintOf([]byte("a")), poison.FingerprintOf([]byte("b")),
+		poison.FingerprintOf([]byte("c")), poison.FingerprintOf([]byte("d"))
+	own.Begin("s1", running)
+	own.Begin("s1", twice)()
+	endTwice := own.Begin("s1", twice)
+	own.Begin("s1", ended)()
+	own.Begin("s2", elsewhere)
+	own.Crashed("s1", now)
+	qt.Check(t, told, qt.Equals, 1)
+	own.Heard(now)
+	peer.Merge(own.Suspicions(now))
+	peer.Heard(now)
+	for _, node := range []*guard.Guard{own, peer} {
+		for f, want := range map[poison.Fingerprint]poison.Verdict{
+			running: poison.VerdictGuarded, twice: poison.VerdictGuarded, ended: poison.VerdictFree, elsewhere: poison.VerdictFree,
+		} {
+			verdict, _ := node.Judge(f, now)
+			qt.Check(t, verdict, qt.Equals, want)
+		}
+	}
+	endTwice()
+	own.Crashed("s1", now)
+	own.Begin("s2", running)
+	own.Crashed("s2", now)
+	verdict, after := own.Judge(running, now)
+	qt.Check(t, verdict, qt.Equals, poison.VerdictRefused)
+	qt.Check(t, after, qt.Equals, poison.ReleaseAfter)
+	verdict, _ = own.Judge(twice, now)
+	qt.Check(t, verdict, qt.Equals, poison.VerdictGuarded, qt.Commentf("two deaths of one server count once"))
+	own.Finished(twice, now.Add(time.Second))
+	verdict, _ = own.Judge(twice, now.Add(time.Second))
+	qt.Check(t, verdict, qt.Equals, poison.VerdictFree)
+	qt.Check(t, told, qt.Equals, 4)
+	_, ok := own.Place(running, []poison.Member{{Server: "s1"}, {Server: "s2"}}, now)
+	qt.Check(t, ok, qt.IsFalse)
+}
+
+// TestDownUntilAnswered tells a server's next death from the same one seen again.
+func TestDownUntilAnswered(t *testing.T) {
+	now := time.Date(2026, time.December, 3, 8, 0, 0, 0, time.UTC)
+	g := guard.New(now, nil)
+	qt.Check(t, g.IsDown("s1"), qt.IsFalse)
+	qt.Check(t, g.Died("s1", now), qt.IsTrue)
+	qt.Check(t, g.IsDown("s1"), qt.IsTrue)
+	qt.Check(t, g.Died("s1", now.Add(time.Second)), qt.IsFalse)
+	qt.Check(t, g.Crashed("s1", now.Add(time.Second)), qt.IsFalse)
+	g.Answered("s1")
+	qt.Check(t, g.IsDown("s1"), qt.IsFalse)
+	qt.Check(t, g.Died("s1", now.Add(2*time.Second)), qt.IsTrue)
+}
+
+// TestDeathSeenTwiceIsOne lets two servers die at once, which the node sees by their connections first and by a stream later. The
+// stream's request is known to have crashed its own server, whichever died first.
+func TestDeathSeenTwiceIsOne(t *testing.T) {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	pool := []poison.Member{{Server: "b"}, {Server: "a"}, {Server: "c"}, {Server: "d"}, {Server: "e"}}
+	for f := range poison.Fingerprint(50) {
+		once, twice := guard.New(now, nil), guard.New(now, nil)
+		begin := now.Add(time.Second)
+		later := begin.Add(200 * time.Millisecond)
+		for _, g := range []*guard.Guard{once, twice} {
+			defer g.Begin("a", f)()
+		}
+		once.Crashed("a", begin)
+		once.Died("b", begin)
+		twice.Died("b", begin)
+		twice.Died("a", begin)
+		twice.Crashed("a", later)
+		want, wantOK := once.Place(f, pool, later)
+		placed, ok := twice.Place(f, pool, later)
+		qt.Assert(t, ok, qt.Equals, wantOK, qt.Commentf("fingerprint %d", f))
+		qt.Assert(t, placed, qt.Equals, want)
+	}
+}
--- /dev/null
+++ b/internal/idem/issuer.go
@@ -0,0 +1,170 @@
+// Package idem issues idempotency keys that one incarnation of a node alone may run, and remembers which of them
+// were used.
+package idem
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// MinSecretBytes is the smallest size of a secret.
+	MinSecretBytes = 16
+	// MaxKeyBytes bounds an issued key; longer ones are refused unread.
+	MaxKeyBytes = 512
+	// DefaultLifetime is how long an issued key may be used.
+	DefaultLifetime = 15 * time.Minute
+	// issuedPrefix begins every issued key, and no caller's own key may begin with it.
+	issuedPrefix = "mri1."
+	// macBytes is the size of the truncated HMAC-SHA256.
+	macBytes = 16
+	// serialBytes is the size of the random number that makes a key unique.
+	serialBytes = 12
+	// macContext keeps this MAC apart from other uses of the same secret.
+	macContext = "monsoonrail issued key\x00"
+)
+
+// Issued is what an issued key says.
+type Issued struct {
+	Node        api.NodeID
+	Incarnation api.Incarnation
+	// Expires has a resolution of one second.
+	Expires time.Time
+}
+
+// IssuerOptions configures NewIssuer.
+type IssuerOptions struct {
+	Node        api.NodeID
+	Incarnation api.Incarnation
+	// Secrets are shared by the nodes; the first signs, all are accepted.
+	Secrets [][]byte
+	// Lifetime is how long a key may be used; 0 means DefaultLifetime.
+	Lifetime time.Duration
+}
+
+// Issuer issues and checks keys.
+type Issuer struct{ opts IssuerOptions }
+
+// NewIssuer returns an issuer. The error is ErrBadSecret.
+func NewIssuer(opts IssuerOptions) (*Issuer, error) {
+	if len(opts.Secrets) == 0 {
+		return nil, Error.Wrap(&ErrBadSecret{})
+	}
+	for _, secret := range opts.Secrets {
+		if len(secret) < MinSecretBytes {
+			return nil, Error.Wrap(&ErrBadSecret{Bytes: len(secret)})
+		}
+	}
+	if opts.Lifetime == 0 {
+		opts.Lifetime = DefaultLifetime
+	}
+	return &Issuer{opts: opts}, nil
+}
+
+// IsIssued reports whether a key has the form of an issued one; whether it is one, Verify tells.
+func IsIssued(key api.IdempotencyKey) bool { return strings.HasPrefix(string(key), issuedPrefix) }
+
+// Issue returns a new key for a team that this incarnation alone may run.
+func (i *Issuer) Issue(team api.Team, now time.Time) api.IdempotencyKey {
+	var serial [serialBytes]byte
+	// The random source of the runtime does not fail.
+	_, _ = rand.Read(serial[:])
+	return i.sign(team, serial, now)
+}
+
+func (i *Issuer) sign(team api.Team, serial [serialBytes]byte, now time.Time) api.IdempotencyKey {
+	payload := append(make([]byte, 0, 128), serial[:]...)
+	payload = binary.AppendVarint(payload, now.Add(i.opts.Lifetime).Unix())
+	payload = appendText(payload, string(i.opts.Node))
+	payload = appendText(payload, string(i.opts.Incarnation))
+	payload = append(payload, sum(i.opts.Secrets[0], team, payload)...)
+	return api.IdempotencyKey(issuedPrefix + base64.RawURLEncoding.EncodeToString(payload))
+}
+
+// Verify returns what a key says if it was issued to a team and has not expired.
+// The error is IsErrKeyForged or IsErrKeyExpired.
+func (i *Issuer) Verify(key api.IdempotencyKey, team api.Team, now time.Time) (Issued, error) {
+	issued, ok := i.open(key, team)
+	if !ok {
+		return Issued{}, Error.Wrap(&ErrKeyForged{})
+	}
+	if !now.Before(issued.Expires) {
+		return Issued{}, Error.Wrap(&ErrKeyExpired{Expired: issued.Expires})
+	}
+	return issued, nil
+}
+
+func (i *Issuer) open(key api.IdempotencyKey, team api.Team) (Issued, bool) {
+	text, ok := strings.CutPrefix(string(key), issuedPrefix)
+	if !ok || len(key) > MaxKeyBytes {
+		return Issued{}, false
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	// The decoder skips line breaks; a key has one form only, since its uses are remembered by it.
+	if err != nil || len(raw) < serialBytes+macBytes || base64.RawURLEncoding.EncodeToString(raw) != text {
+		return Issued{}, false
+	}
+	payload, mac := raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
+	if !i.isSigned(team, payload, mac) {
+		return Issued{}, false
+	}
+	return parseIssued(payload[serialBytes:])
+}
+
+func (i *Issuer) isSigned(team api.Team, payload, mac []byte) bool {
+	for _, secret := range i.opts.Secrets {
+		if hmac.Equal(mac, sum(secret, team, payload)) {
+			return true
+		}
+	}
+	return false
+}
+
+// sum binds a payload to a team, which the key does not name.
+func sum(secret []byte, team api.Team, payload []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte(macContext))
+	h.Write(appendText(nil, string(team)))
+	h.Write(payload)
+	return h.Sum(nil)[:macBytes]
+}
+
+func appendText(b []byte, text string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(text)))
+	return append(b, text...)
+}
+
+func parseIssued(b []byte) (Issued, bool) {
+	seconds, n := binary.Varint(b)
+	if n <= 0 {
+		return Issued{}, false
+	}
+	node, b, ok := cutText(b[n:])
+	if !ok {
+		return Issued{}, false
+	}
+	incarnation, rest, ok := cutText(b)
+	if !ok || len(rest) > 0 {
+		return Issued{}, false
+	}
+	return Issued{
+		Node:        api.NodeID(node),
+		Incarnation: api.Incarnation(incarnation),
+		Expires:     time.Unix(seconds, 0).UTC(),
+	}, true
+}
+
+func cutText(b []byte) (text string, rest []byte, ok bool) {
+	size, n := binary.Uvarint(b)
+	if n <= 0 || size > uint64(len(b)-n) {
+		return "", nil, false
+	}
+	return string(b[n : n+int(size)]), b[n+int(size):], true
+}
--- /dev/null
+++ b/internal/keyowner/resolver_test.go
@@ -0,0 +1,152 @@
+package keyowner_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/claim"
+	"github.com/monsoonrail/monsoonrail/internal/idem"
+	"github.com/monsoonrail/monsoonrail/internal/keyowner"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// claims answers every claim alike and notes what was released.
+type claims struct {
+	claimed  claim.Claimed
+	err      error
+	released []api.RequestID
+}
+
+func (c *claims) Claim(context.Context, claim.Request) (claim.Claimed, error) {
+	return c.claimed, c.err
+}
+func (c *claims) Release(req claim.Request) { c.released = append(c.released, req.RequestID) }
+
+// members knows one live incarnation.
+type members struct{ live api.Incarnation }
+
+func (m members) FindURL(_ api.NodeID, incarnation api.Incarnation) (string, bool) {
+	return "http://peer", incarnation == m.live
+}
+
+func newIssuer(t *testing.T, node api.NodeID) *idem.Issuer {
+	issuer, err := idem.NewIssuer(idem.IssuerOptions{
+		Node: node, Incarnation: "i1", Secrets: [][]byte{bytes.Repeat([]byte("s"), 16)},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return issuer
+}
+
+func newResolver(t *testing.T, made *claims, maxUsed int) *keyowner.Resolver {
+	return keyowner.New(keyowner.Options{
+		Node: "n1", Incarnation: "i1", Issuer: newIssuer(t, "n1"), Used: idem.NewUsedKeys(maxUsed, 0),
+		Claims: made, Members: members{live: "alive"},
+	})
+}
+
+// wantResult is what a resolution must come to: a run here if both are empty.
+type wantResult struct {
+	reason    api.Reason
+	outcome   api.Outcome
+	elsewhere api.Incarnation
+}
+
+func check(t *testing.T, name string, err error, want wantResult) {
+	t.Helper()
+	got := wantResult{}
+	if elsewhere, ok := router.AsErrElsewhere(err); ok {
+		got.elsewhere = elsewhere.Incarnation
+	} else if err != nil {
+		problem := router.AsProblem(err, "")
+		got.reason, got.outcome = problem.Reason, problem.Outcome
+	}
+	qt.Check(t, got, qt.Equals, want, qt.Commentf("%s: %v", name, err))
+}
+
+func TestOwnKeys(t *testing.T) {
+	owner := func(node api.NodeID, incarnation api.Incarnation) claim.Claimed {
+		return claim.Claimed{Owner: claim.Owner{Node: node, Incarnation: incarnation}}
+	}
+	for _, test := range []struct {
+		name         string
+		claimed      claim.Claimed
+		err          error
+		once, repeat wantResult
+		// mayHaveRun tells that a repeatable request that runs here may have run before.
+		mayHaveRun bool
+	}{
+		{name: "new", claimed: claim.Claimed{IsNew: true}},
+		{name: "other request", err: &idem.ErrKeyReused{},
+			once:   wantResult{reason: api.ReasonKeyReused, outcome: api.OutcomeNotRun},
+			repeat: wantResult{reason: api.ReasonKeyReused, outcome: api.OutcomeNotRun}},
+		{name: "service down", err: &claim.ErrUnavailable{},
+			once: wantResult{reason: api.ReasonClaimUnavailable, outcome: api.OutcomeMayHaveRun}, mayHaveRun: true},
+		{name: "own and forgotten", claimed: owner("n1", "i1"),
+			once: wantResult{reason: api.ReasonUnknownAnswer, outcome: api.OutcomeMayHaveRun}, mayHaveRun: true},
+		{name: "other node", claimed: owner("n2", "alive"),
+			once: wantResult{elsewhere: "alive"}, repeat: wantResult{elsewhere: "alive"}},
+		{name: "owner gone", claimed: owner("n2", "gone"), once: wantResult{elsewhere: "gone"}, mayHaveRun: true},
+		{name: "own earlier incarnation", claimed: owner("n1", "i0"), once: wantResult{elsewhere: "i0"}, mayHaveRun: true},
+	} {
+		made := &claims{claimed: test.claimed, err: test.err}
+		resolver := newResolver(t, made, 0)
+		req := router.KeyRequest{Team: "lessons", Key: "k", RequestID: "r1"}
+		resolution, err := resolver.Resolve(t.Context(), req)
+		check(t, test.name+", repeatable", err, test.repeat)
+		qt.Check(t, resolution.MayHaveRun, qt.Equals, test.mayHaveRun, qt.Commentf(test.name))
+		req.Once = true
+		_, err = resolver.Resolve(t.Context(), req)
+		check(t, test.name+", once", err, test.once)
+		req.FirstTry = true
+		_, err = resolver.Resolve(t.Context(), req)
+		first := test.once
+		if first.reason == api.ReasonClaimUnavailable {
+			first.outcome = api.OutcomeNotRun
+		}
+		check(t, test.name+", first try", err, first)
+		resolver.Release(req)
+		qt.Check(t, made.released, qt.DeepEquals, []api.RequestID{"r1"})
+	}
+}
+
+func TestIssuedKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resolver := newResolver(t, &claims{}, 2)
+		key := newIssuer(t, "n1").Issue("lessons", time.Now())
+		var resolution router.Resolution
+		resolve := func(change func(*router.KeyRequest)) error {
+			req := router.KeyRequest{Team: "lessons", Key: key, RequestID: "r2"}
+			change(&req)
+			var err error
+			resolution, err = resolver.Resolve(t.Context(), req)
+			return err
+		}
+		same := func(*router.KeyRequest) {}
+		check(t, "first", resolve(func(req *router.KeyRequest) { req.RequestID = "r1" }), wantResult{})
+		qt.Check(t, resolution, qt.Equals, router.Resolution{})
+		check(t, "forgotten", resolve(same), wantResult{})
+		qt.Check(t, resolution, qt.Equals, router.Resolution{MayHaveRun: true, BillAs: "r1"})
+		check(t, "forgotten, once", resolve(func(req *router.KeyRequest) { req.Once = true }),
+			wantResult{reason: api.ReasonUnknownAnswer, outcome: api.OutcomeMayHaveRun})
+		check(t, "other request", resolve(func(req *router.KeyRequest) { req.Fingerprint[0] = 1 }),
+			wantResult{reason: api.ReasonKeyReused, outcome: api.OutcomeNotRun})
+		check(t, "other team", resolve(func(req *router.KeyRequest) { req.Team = "moderators" }),
+			wantResult{reason: api.ReasonBadRequest, outcome: api.OutcomeMayHaveRun})
+		resolver.Release(router.KeyRequest{Key: key, RequestID: "r1"})
+		check(t, "after release", resolve(same), wantResult{})
+		issue := func(node api.NodeID) func(*router.KeyRequest) {
+			return func(req *router.KeyRequest) { req.Key = newIssuer(t, node).Issue("lessons", time.Now()) }
+		}
+		check(t, "other node", resolve(issue("n2")), wantResult{elsewhere: "i1"})
+		check(t, "second key", resolve(issue("n1")), wantResult{})
+		check(t, "too many keys", resolve(issue("n1")), wantResult{reason: api.ReasonOverloaded, outcome: api.OutcomeNotRun})
+		time.Sleep(idem.DefaultLifetime)
+		check(t, "expired", resolve(same), wantResult{reason: api.ReasonKeyExpired, outcome: api.OutcomeMayHaveRun})
+	})
+}
--- /dev/null
+++ b/internal/kv/gateway.go
@@ -0,0 +1,175 @@
+package kv
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv/kvwire"
+)
+
+const (
+	// DefaultTimeout bounds one call to one endpoint.
+	DefaultTimeout = 2 * time.Second
+	// DefaultWatchAge bounds the age of a watch's connection.
+	DefaultWatchAge = 5 * time.Second
+	// DefaultMaxAnswerBytes bounds an answer and one message of a watch.
+	DefaultMaxAnswerBytes = 16 << 20
+)
+
+// GatewayOptions configures NewGateway.
+type GatewayOptions struct {
+	// Endpoints holds the base URLs of the service, the preferred one first; at least one.
+	Endpoints []string
+	// Client makes the calls; it has no timeout of its own and serves nobody else, since its idle
+	// connections are closed when one of them went silent.
+	Client *http.Client
+	// Timeout bounds one call to one endpoint; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// WatchAge is how long a watch stays on one connection, so that a silent one costs no more; 0 means
+	// DefaultWatchAge.
+	WatchAge time.Duration
+	// MaxAnswerBytes bounds an answer; 0 means DefaultMaxAnswerBytes.
+	MaxAnswerBytes int64
+}
+
+// gateway speaks the etcd v3 JSON gateway.
+type gateway struct {
+	opts GatewayOptions
+	// current is the index of the endpoint that answered last.
+	current atomic.Int32
+}
+
+// NewGateway returns the key-value service behind an etcd v3 JSON gateway.
+//
+// A call goes to the next endpoint only if the last one certainly did nothing, or if the call is a read.
+func NewGateway(opts GatewayOptions) Store {
+	if opts.Timeout == 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.WatchAge == 0 {
+		opts.WatchAge = DefaultWatchAge
+	}
+	if opts.MaxAnswerBytes == 0 {
+		opts.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	return &gateway{opts: opts}
+}
+
+// Get implements Store.
+func (g *gateway) Get(ctx context.Context, key string) (Pair, error) {
+	var resp kvwire.RangeResponse
+	err := g.read(ctx, kvwire.PathRange, kvwire.RangeRequest{Key: []byte(key)}, &resp)
+	if err != nil {
+		return Pair{}, err
+	}
+	if len(resp.KVs) == 0 {
+		return Pair{Key: key}, nil
+	}
+	return readPair(resp.KVs[0]), nil
+}
+
+// List implements Store.
+func (g *gateway) List(ctx context.Context, opts ListOptions) (ListResult, error) {
+	req := kvwire.RangeRequest{
+		Key:      []byte(max(opts.From, opts.Prefix)),
+		RangeEnd: kvwire.PrefixEnd(opts.Prefix),
+		Limit:    kvwire.Int64(opts.Limit),
+	}
+	var resp kvwire.RangeResponse
+	if err := g.read(ctx, kvwire.PathRange, req, &resp); err != nil {
+		return ListResult{}, err
+	}
+	result := ListResult{More: resp.More, Revision: Version(resp.Header.Revision)}
+	for _, found := range resp.KVs {
+		result.Pairs = append(result.Pairs, readPair(found))
+	}
+	return result, nil
+}
+
+// Commit implements Store.
+func (g *gateway) Commit(ctx context.Context, txn Txn) (TxnResult, error) {
+	if err := checkSize(txn); err != nil {
+		return TxnResult{}, err
+	}
+	var resp kvwire.TxnResponse
+	if err := g.write(ctx, kvwire.PathTxn, wireTxn(txn), &resp); err != nil {
+		return TxnResult{}, err
+	}
+	result, err := readTxnResult(txn, resp)
+	if err != nil {
+		return TxnResult{}, Error.Wrap(&ErrUnknownOutcome{Cause: err})
+	}
+	return result, nil
+}
+
+// Grant implements Store; the service counts whole seconds.
+func (g *gateway) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	seconds := max(1, int64(ttl/time.Second))
+	var resp kvwire.LeaseResponse
+	if err := g.write(ctx, kvwire.PathGrant, kvwire.GrantRequest{TTL: kvwire.Int64(seconds)}, &resp); err != nil {
+		return Lease{}, err
+	}
+	return readLease(resp), nil
+}
+
+// KeepAlive implements Store.
+func (g *gateway) KeepAlive(ctx context.Context, id LeaseID) (Lease, error) {
+	var resp kvwire.KeepAliveResponse
+	if err := g.write(ctx, kvwire.PathKeepAlive, kvwire.LeaseRequest{ID: kvwire.Int64(id)}, &resp); err != nil {
+		return Lease{}, withLease(err, id)
+	}
+	if resp.Result.TTL <= 0 {
+		return Lease{}, Error.Wrap(&ErrLeaseNotFound{ID: id})
+	}
+	return readLease(resp.Result), nil
+}
+
+// Revoke implements Store.
+func (g *gateway) Revoke(ctx context.Context, id LeaseID) error {
+	var resp kvwire.LeaseResponse
+	return withLease(g.write(ctx, kvwire.PathRevoke, kvwire.LeaseRequest{ID: kvwire.Int64(id)}, &resp), id)
+}
+
+// read makes a call that changes nothing, at each endpoint in turn until one answers.
+func (g *gateway) read(ctx context.Context, path string, req, resp any) error {
+	return g.eachEndpoint(ctx, func(base string) (error, bool) {
+		err := g.post(ctx, base+path, req, resp)
+		if IsErrUnknownOutcome(err) {
+			return asRead(err), true
+		}
+		return err, IsErrUnavailable(err)
+	})
+}
+
+// write makes a call that may change something, at each endpoint in turn while nothing can have taken effect.
+func (g *gateway) write(ctx context.Context, path string, req, resp any) error {
+	return g.eachEndpoint(ctx, func(base string) (error, bool) {
+		err := g.post(ctx, base+path, req, resp)
+		return err, IsErrUnavailable(err)
+	})
+}
+
+// eachEndpoint calls f with each endpoint, the current one first, until f does not ask for the next.
+func (g *gateway) eachEndpoint(ctx context.Context, f func(base string) (err error, next bool)) error {
+	first := int(g.current.Load())
+	var last error
+	for i := range g.opts.Endpoints {
+		index := (first + i) % len(g.opts.Endpoints)
+		err, next := f(g.opts.Endpoints[index])
+		if !next {
+			if err == nil {
+				g.current.Store(int32(index))
+			}
+			return err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	// The next call begins elsewhere, since the current endpoint may be slow to fail.
+	g.current.CompareAndSwap(int32(first), int32((first+1)%len(g.opts.Endpoints)))
+	return last
+}
--- /dev/null
+++ b/internal/kv/gateway_codec.go
@@ -0,0 +1,110 @@
+package kv
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv/kvwire"
+)
+
+// ErrMissingResponse means that a transaction's answer does not fit the branch that ran.
+type ErrMissingResponse struct {
+	// Op is the index of the operation.
+	Op int
+}
+
+// Error implements error.
+func (e *ErrMissingResponse) Error() string { return fmt.Sprintf("no response to operation %d", e.Op) }
+
+// checkSize refuses values over the service's limit before they are sent.
+func checkSize(txn Txn) error {
+	for _, ops := range [][]Op{txn.Then, txn.Else} {
+		for _, op := range ops {
+			if len(op.Value) > kvwire.MaxValueBytes {
+				return Error.Wrap(&ErrTooLarge{Bytes: len(op.Value)})
+			}
+		}
+	}
+	return nil
+}
+
+func wireTxn(txn Txn) kvwire.TxnRequest {
+	req := kvwire.TxnRequest{Success: wireOps(txn.Then), Failure: wireOps(txn.Else)}
+	for _, c := range txn.If {
+		req.Compare = append(req.Compare, kvwire.Compare{
+			Result:      kvwire.ResultEqual,
+			Target:      kvwire.TargetMod,
+			Key:         []byte(c.Key),
+			ModRevision: kvwire.Int64(c.Version),
+		})
+	}
+	return req
+}
+
+func wireOps(ops []Op) []kvwire.RequestOp {
+	requests := make([]kvwire.RequestOp, 0, len(ops))
+	for _, op := range ops {
+		requests = append(requests, wireOp(op))
+	}
+	return requests
+}
+
+func wireOp(op Op) kvwire.RequestOp {
+	key := []byte(op.Key)
+	switch op.Kind {
+	case OpPut:
+		return kvwire.RequestOp{Put: &kvwire.PutRequest{Key: key, Value: op.Value, Lease: kvwire.Int64(op.Lease)}}
+	case OpDelete:
+		return kvwire.RequestOp{Delete: &kvwire.DeleteRequest{Key: key}}
+	default:
+		return kvwire.RequestOp{Range: &kvwire.RangeRequest{Key: key}}
+	}
+}
+
+// readTxnResult returns the result of a transaction, whose gets must all have been answered.
+func readTxnResult(txn Txn, resp kvwire.TxnResponse) (TxnResult, error) {
+	result := TxnResult{Succeeded: resp.Succeeded, Revision: Version(resp.Header.Revision)}
+	ops := txn.Then
+	if !resp.Succeeded {
+		ops = txn.Else
+	}
+	for i, op := range ops {
+		if op.Kind != OpGet {
+			continue
+		}
+		if i >= len(resp.Responses) || resp.Responses[i].Range == nil {
+			return TxnResult{}, &ErrMissingResponse{Op: i}
+		}
+		pair := Pair{Key: op.Key}
+		if found := resp.Responses[i].Range.KVs; len(found) > 0 {
+			pair = readPair(found[0])
+		}
+		result.Pairs = append(result.Pairs, pair)
+	}
+	return result, nil
+}
+
+func readPair(found kvwire.KeyValue) Pair {
+	return Pair{
+		Key:     string(found.Key),
+		Value:   found.Value,
+		Version: Version(found.ModRevision),
+		Lease:   LeaseID(found.Lease),
+	}
+}
+
+func readLease(resp kvwire.LeaseResponse) Lease {
+	return Lease{ID: LeaseID(resp.ID), TTL: time.Duration(resp.TTL) * time.Second}
+}
+
+// readBatch returns the events of one message of a watch.
+func readBatch(result kvwire.WatchResult) WatchBatch {
+	batch := WatchBatch{Revision: Version(result.Header.Revision)}
+	for _, event := range result.Events {
+		batch.Events = append(batch.Events, Event{
+			Deleted: event.Type == kvwire.EventDelete,
+			Pair:    readPair(event.KV),
+		})
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/kv/gateway_watch_test.go
@@ -0,0 +1,93 @@
+package kv_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+)
+
+// watch collects the values under "k/" from a revision on until the watch ends.
+func (b *bench) watch(ctx context.Context, from kv.Version) (values *[]string, ended chan error) {
+	values, ended = new([]string), make(chan error, 1)
+	go func() {
+		ended <- b.store.Watch(ctx, "k/", from, func(batch kv.WatchBatch) error {
+			for _, event := range batch.Events {
+				*values = append(*values, string(event.Pair.Value))
+			}
+			return nil
+		})
+	}()
+	return values, ended
+}
+
+// settle lets time pass and every goroutine come to rest.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *bench) putMany(first, last int) (want []string) {
+	for i := first; i <= last; i++ {
+		_, err := b.service.Store().Commit(b.ctx, put(fmt.Sprintf("k/%d", i%7), fmt.Sprint(i)))
+		b.Assert(err, qt.IsNil)
+		want = append(want, fmt.Sprint(i))
+	}
+	return want
+}
+
+// TestWatchSurvivesSilence silences the watch's connection and drops it; no event may be missed or repeated.
+func TestWatchSurvivesSilence(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		ctx, cancel := context.WithCancel(b.ctx)
+		want := b.putMany(1, 10)
+		values, ended := b.watch(ctx, 1)
+		settle(time.Second)
+		b.network.Silence(nodeIP, firstIP)
+		want = append(want, b.putMany(11, 20)...)
+		settle(kv.DefaultWatchAge + kv.DefaultTimeout)
+		b.Assert(*values, qt.DeepEquals, want)
+		settle(3 * kv.DefaultWatchAge)
+		want = append(want, b.putMany(21, 30)...)
+		settle(time.Second)
+		b.Assert(*values, qt.DeepEquals, want)
+		b.Assert(b.service.Counts().OpenWatches <= 2, qt.IsTrue)
+		cancel()
+		b.Assert(<-ended, qt.Equals, context.Canceled)
+	})
+}
+
+func TestWatchErrors(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		snapshot := b.service.Snapshot()
+		b.putMany(1, 10)
+		b.service.Compact(5)
+		_, ended := b.watch(b.ctx, 2)
+		b.Assert(<-ended, qt.Satisfies, kv.IsErrCompacted)
+		_, ended = b.watch(b.ctx, b.service.Revision()+1)
+		settle(time.Second)
+		b.service.Restore(snapshot)
+		b.Assert(<-ended, qt.Satisfies, kv.IsErrUnavailable)
+		_, ended = b.watch(b.ctx, 12)
+		b.Assert(<-ended, qt.Satisfies, kv.IsErrServiceOlder)
+	})
+}
+
+func TestWatchSkipsBatches(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		ctx, cancel := context.WithCancel(b.ctx)
+		values, ended := b.watch(ctx, 0)
+		settle(time.Second)
+		b.service.SkipWatchBatches(2)
+		b.putMany(1, 3)
+		settle(time.Second)
+		b.Assert(*values, qt.DeepEquals, []string{"3"})
+		cancel()
+		<-ended
+	})
+}
--- /dev/null
+++ b/internal/limit/bench_test.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// BenchmarkQueue offers a request and takes one from a queue in which 200 wait, of 10 teams.
+func BenchmarkQueue(b *testing.B) {
+	queue := NewQueue(QueueOptions{MaxRequests: 1000}, NewUsage())
+	team := func(i int) api.Team { return api.Team(fmt.Sprint(i % 10)) }
+	for i := range 200 {
+		queue.Offer(request(team(i), i, 1), start)
+	}
+	requests := make([]Request, 1000)
+	for i := range requests {
+		requests[i] = request(team(i), i, 1)
+	}
+	b.ReportAllocs()
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		queue.Offer(requests[i%len(requests)], now)
+		queue.Next(now)
+	}
+}
+
+// BenchmarkHeard takes in one peer's report of 10 teams while 590 peers are known.
+func BenchmarkHeard(b *testing.B) {
+	usage := NewUsage()
+	report := func(now time.Time) TeamUsage {
+		r := TeamUsage{AsOf: now, Seconds: map[api.Team]float64{}}
+		for i := range 10 {
+			r.Seconds[api.Team(fmt.Sprint(i))] = float64(i)
+		}
+		return r
+	}
+	names := make([]string, 590)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+		usage.Heard(names[i], report(start), start)
+	}
+	b.ReportAllocs()
+	now := start
+	shared := report(now)
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		shared.AsOf = now
+		usage.Heard(names[i%len(names)], shared, now)
+	}
+}
--- /dev/null
+++ b/internal/node/bills.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/billfold"
+	"github.com/monsoonrail/monsoonrail/internal/billing"
+	"github.com/monsoonrail/monsoonrail/internal/idem"
+	"github.com/monsoonrail/monsoonrail/internal/noderpc"
+	"github.com/monsoonrail/monsoonrail/internal/peer"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// holdInterval is the mean time between two messages of bills to the peer that holds them. Under load a stream's end waits
+// for at most that long; a node with fewer answers a second than messages allowed doesn't wait.
+const holdInterval = 100 * time.Millisecond
+
+// makeBills makes what takes bills, holds those of other nodes and folds them into totals.
+func (n *Node) makeBills() {
+	transport := tcp.NewHTTP2Transport(n.opts.Network)
+	n.parts.onClose = append(n.parts.onClose, transport.CloseIdleConnections)
+	calls := noderpc.NewClient(noderpc.ClientOptions{
+		HTTP:    &http.Client{Transport: n.peerKeys().SignTransport(transport)},
+		FindURL: n.findPeerURL,
+	})
+	n.calls = calls
+	n.biller = billing.NewBiller(billing.Options{
+		Node: n.opts.Settings.Node.NodeID(), Incarnation: n.incarnation, Store: n.store, Holder: calls,
+		Peers: n.billPeers, HoldInterval: holdInterval, Rand: n.random(streamBills), Log: n.log,
+	})
+	n.keeper = billing.NewKeeper(billing.KeeperOptions{Store: n.store, IsAlive: n.isAlive, IsReplaced: n.isReplaced, Log: n.log})
+	folders := billfold.NewFolders(billfold.FoldersOptions{
+		Store: n.store, Node: n.opts.Settings.Node.NodeID(), Nodes: n.liveNodes, Log: n.log,
+	})
+	n.parts.bills = bills{n.biller}
+	n.parts.duties = append(n.parts.duties,
+		supervisor.Duty{Name: "bill-hold", Run: n.biller.RunHold},
+		supervisor.Duty{Name: "bill-flush", Run: n.biller.RunFlush},
+		supervisor.Duty{Name: "bill-keeper", Run: n.keeper.Run},
+		supervisor.Duty{Name: "bill-fold", Run: folders.Run})
+	n.parts.onFlush = append(n.parts.onFlush, func(ctx context.Context) {
+		if err := n.biller.Close(ctx); err != nil {
+			n.log.WithError(err).Warn("bills left with the peer that holds them")
+		}
+	})
+}
+
+func (n *Node) peerKeys() peer.Keys {
+	return peer.Keys(secretBytes([]string{n.opts.Settings.Secrets.Peer}))
+}
+
+// findPeerURL returns where a live node serves other nodes.
+func (n *Node) findPeerURL(node api.NodeID) (string, bool) {
+	for _, member := range n.cluster.exchange.Members() {
+		if member.Node == node {
+			return "http://" + member.PeerAddress, true
+		}
+	}
+	snapshot, _ := n.parts.vms.Snapshot()
+	for _, entry := range snapshot.Nodes {
+		if entry.ID == node {
+			return n.peerURLOf(entry.Address)
+		}
+	}
+	return "", false
+}
+
+// peerURLOf returns where a node of the VM list serves other nodes, if its peer port is this node's own.
+func (n *Node) peerURLOf(callerAddress string) (string, bool) {
+	host, _, err := net.SplitHostPort(callerAddress)
+	_, port, ownErr := net.SplitHostPort(n.opts.Settings.Node.PeerAddress())
+	if err != nil || ownErr != nil {
+		return "", false
+	}
+	return "http://" + net.JoinHostPort(host, port), true
+}
+
+// billPeers lists the nodes that may hold this one's bills: those of other failure domains first, so that a failure
+// domain's end takes no bill with it.
+func (n *Node) billPeers() []api.NodeID {
+	own := n.self(n.started)
+	var far, near []api.NodeID
+	for _, member := range n.cluster.exchange.Members() {
+		switch {
+		case member.Node == own.Node || member.Draining:
+		case member.FailureDomain == own.FailureDomain:
+			near = append(near, member.Node)
+		default:
+			far = append(far, member.Node)
+		}
+	}
+	return slices.Concat(far, near)
+}
+
+func (n *Node) isAlive(node api.NodeID, incarnation api.Incarnation) bool {
+	return slices.ContainsFunc(n.cluster.exchange.Members(), func(member peer.Member) bool {
+		return member.Node == node && member.Incarnation == incarnation
+	})
+}
+
+// isReplaced reports whether another incarnation of a node is heard of.
+func (n *Node) isReplaced(node api.NodeID, incarnation api.Incarnation) bool {
+	return slices.ContainsFunc(n.cluster.exchange.Members(), func(member peer.Member) bool {
+		return member.Node == node && member.Incarnation != incarnation
+	})
+}
+
+// bills implements router.Biller.
+type bills struct{ biller *billing.Biller }
+
+// Add implements router.Biller. An issued key names one incarnation, which bills each request once by its id.
+func (b bills) Add(ctx context.Context, bill router.Bill) error {
+	line := billing.Line{
+		RequestID: bill.RequestID, Team: bill.Team, Service: bill.Service, Version: bill.Version,
+		PromptTokens: bill.Usage.PromptTokens, AnswerTokens: bill.Usage.CompletionTokens, Cost: bill.Cost, At: bill.At,
+		IsWhole: bill.IsWhole,
+	}
+	if bill.Key != "" && !idem.IsIssued(bill.Key) {
+		line.Key = bill.Key
+	}
+	return b.biller.Add(ctx, line)
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+
+	"github.com/monsoonrail/monsoonrail/internal/balance"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/vmlist"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// discover keeps the registry in step with the VM list.
+func (n *Node) discover(ctx context.Context) error {
+	var used subset
+	for {
+		snapshot, changed := n.parts.vms.Snapshot()
+		used = n.takeSnapshot(snapshot, used)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-n.parts.extras.changed:
+		}
+	}
+}
+
+// subset is what a node uses of the servers of a list.
+type subset struct {
+	// reads is the number of the read that the list came with.
+	reads uint64
+	ids   map[api.ServerID]bool
+}
+
+// takeSnapshot keeps the servers of this node's subset and the extra ones. The subset is worked out anew for each list that was read and not for each
+// server that leaves. An empty list is not believed: it would end all work.
+func (n *Node) takeSnapshot(snapshot *vmlist.Snapshot, used subset) subset {
+	if len(snapshot.Servers) == 0 {
+		return used
+	}
+	if used.reads != snapshot.Reads {
+		used = subset{reads: snapshot.Reads, ids: n.subset(snapshot)}
+	}
+	extras := n.parts.extras.all()
+	var servers []fleet.Server
+	for _, server := range snapshot.Servers {
+		if _, isExtra := extras[server.ID]; isExtra || used.ids[server.ID] {
+			servers = append(servers, server)
+		}
+	}
+	n.registry.Update(servers)
+	n.choice.SetServers(servers)
+	n.choice.SetDeciders(n.sharing(len(snapshot.Servers), len(servers)))
+	return used
+}
+
+// sharing returns how many nodes use each of this node's servers, on average.
+func (n *Node) sharing(servers, used int) int {
+	return max(n.nodeCount()*used/max(servers, 1), 1)
+}
+
+// subset returns the servers that this node uses of each service.
+func (n *Node) subset(snapshot *vmlist.Snapshot) map[api.ServerID]bool {
+	nodes := nodesOf(snapshot, n.opts.Settings.Node.NodeID())
+	byService := make(map[api.Service][]api.ServerID)
+	for _, server := range snapshot.Servers {
+		byService[server.Service] = append(byService[server.Service], server.ID)
+	}
+	used := make(map[api.ServerID]bool)
+	for _, servers := range byService {
+		for _, id := range balance.Subset(balance.SubsetOptions{
+			Node: n.opts.Settings.Node.NodeID(), Nodes: nodes, Servers: servers, Size: n.opts.Settings.Platform.ServerSubset,
+		}) {
+			used[id] = true
+		}
+	}
+	return used
+}
+
+// nodesOf lists the nodes of a snapshot and this one, which the list may not show yet.
+func nodesOf(snapshot *vmlist.Snapshot, own api.NodeID) []api.NodeID {
+	nodes := []api.NodeID{own}
+	for _, entry := range snapshot.Nodes {
+		if entry.ID != own {
+			nodes = append(nodes, entry.ID)
+		}
+	}
+	return nodes
+}
+
+// PoolOf implements router.Pools.
+func (n *Node) PoolOf(service api.Service) []fleet.Server {
+	snapshot, _ := n.parts.vms.Snapshot()
+	return snapshot.ServersOf(service)
+}
--- /dev/null
+++ b/internal/node/make_parts.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/admission"
+	"github.com/monsoonrail/monsoonrail/internal/guard"
+	"github.com/monsoonrail/monsoonrail/internal/serverchoice"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/vmlist"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// makeParts makes all that the request path asks, and the duties that feed it.
+func (n *Node) makeParts(ctx context.Context) error {
+	n.makeStore()
+	n.parts.vms = vmlist.NewPoller(vmlist.PollerOptions{
+		Client:   vmlist.NewClient(n.opts.Settings.Platform.VMList, n.plainClient()),
+		Interval: n.opts.Settings.Platform.VMListPoll,
+		Rand:     n.random(streamVMs),
+		Log:      n.log,
+		OnNews:   func() { n.cluster.exchange.Notify(vmlist.TopicName) },
+		Metrics:  n.metrics.Registry(),
+	})
+	if err := n.makeCluster(); err != nil {
+		return err
+	}
+	n.makeDecisions()
+	n.makeVersions()
+	n.makeBills()
+	n.makeCopier()
+	if err := n.makeKeys(); err != nil {
+		return err
+	}
+	n.register()
+	return n.listenPeers(ctx)
+}
+
+// makeDecisions makes what decides about each request.
+func (n *Node) makeDecisions() {
+	n.parts.extras = newExtras()
+	n.choice = serverchoice.New(n.random(streamServers))
+	n.guard = guard.New(time.Now(), func() { n.cluster.exchange.Notify(topicSuspicions) })
+	n.gate = admission.New(admission.Options{
+		Capacity: n, Metrics: n.metrics, Nodes: n.nodeCount, FleetRate: n.fleetRate, Incarnation: n.incarnation,
+		FailureDomain: api.FailureDomain(n.opts.Settings.Node.FailureDomain),
+	})
+	n.parts.configs = inForce{&n.cluster}
+	n.parts.servers = n.choice
+	n.parts.admission = n.gate
+	n.parts.members = n
+	n.parts.onDrain = append(n.parts.onDrain, func() { n.cluster.exchange.SetDraining(true) })
+	n.parts.duties = append(n.parts.duties, n.clusterDuties()...)
+	n.parts.duties = append(n.parts.duties,
+		supervisor.Duty{Name: "admission", Run: n.gate.Run},
+		supervisor.Duty{Name: "usage", Run: n.reportUsage},
+		supervisor.Duty{Name: "borrow", Run: n.borrow},
+		supervisor.Duty{Name: "pools", Run: n.fillPools})
+	n.parts.duties = append(n.parts.duties, n.rollOutDuties()...)
+}
+
+// register puts the node's shared state on the peer exchange.
+func (n *Node) register() {
+	n.cluster.exchange.Register(n.cluster.follower)
+	n.cluster.exchange.Register(&suspicionTopic{node: n})
+	n.cluster.exchange.Register(n.cluster.trials)
+	n.cluster.exchange.Register(n.usageTopic())
+	n.cluster.exchange.Register(takenUsage{n.gate})
+	n.cluster.exchange.Register(n.ratingTopic())
+	n.cluster.exchange.Register(n.parts.vms.Topic())
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,273 @@
+// Package node puts a node together: the caller API, the request path, the duties that feed it, and its graceful shutdown.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/admission"
+	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/internal/billing"
+	"github.com/monsoonrail/monsoonrail/internal/caller"
+	"github.com/monsoonrail/monsoonrail/internal/claim"
+	"github.com/monsoonrail/monsoonrail/internal/engine"
+	"github.com/monsoonrail/monsoonrail/internal/guard"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/noderpc"
+	"github.com/monsoonrail/monsoonrail/internal/plain"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/rollout"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/internal/serverchoice"
+	"github.com/monsoonrail/monsoonrail/internal/session"
+	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/versionchoice"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// readHeaderTimeout bounds the time to a request's header.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout closes callers' idle connections.
+	idleTimeout = 2 * time.Minute
+	// shutdownTimeout bounds the end of the HTTP server once no request runs.
+	shutdownTimeout = 10 * time.Second
+	// incarnationLen is how much of a random id names an incarnation.
+	incarnationLen = 12
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("node")
+
+// Options holds what a node is made of.
+type Options struct {
+	Settings setting.Settings
+	Network  tcp.Network
+	Log      log.Interface
+	// Incarnation names this run of the node; empty takes a fresh random one, as every real node must.
+	Incarnation api.Incarnation
+	// Alter changes what the request path asks, for tests that break a promise on purpose; nil changes nothing.
+	Alter func(*router.Options)
+	// Seed decides the node's random draws; 0 takes a random one.
+	Seed uint64
+}
+
+// Node is one entry VM's process.
+type Node struct {
+	opts        Options
+	incarnation api.Incarnation
+	log         log.Interface
+	metrics     *metric.Set
+	registry    *registry.Registry
+	answers     *answer.Store
+	engines     *engine.Client
+	ends        *serverEnds
+	choice      *serverchoice.Choice
+	versions    *versionchoice.Choice
+	guard       *guard.Guard
+	gate        *admission.Gate
+	cluster     cluster
+	rollOuts    *rollout.Store
+	calls       *noderpc.Client
+	batcher     *claim.Batcher
+	biller      *billing.Biller
+	keeper      *billing.Keeper
+	started     time.Time
+	// seed is that of every random draw.
+	seed      uint64
+	store     kv.Store
+	router    *router.Router
+	tree      *supervisor.Tree
+	server    *http.Server
+	listener  net.Listener
+	transport *http.Transport
+	drawMu    sync.Mutex
+	draws     *rand.Rand
+	// draining is set once, at the beginning of the graceful shutdown.
+	draining atomic.Bool
+	closing  sync.Once
+
+	parts parts
+}
+
+// NewIncarnation returns a fresh random id.
+func NewIncarnation() api.Incarnation {
+	return api.Incarnation(uuid.NewString()[:8] + uuid.NewString()[:incarnationLen-8])
+}
+
+// New puts a node together and begins to listen; Run must be called, or Close.
+func New(ctx context.Context, opts Options) (*Node, error) {
+	if err := opts.Settings.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		opts:        opts,
+		incarnation: opts.Incarnation,
+		started:     time.Now(),
+		metrics:     metric.New(),
+		registry:    registry.New(),
+		ends:        newServerEnds(),
+		seed:        opts.Seed,
+	}
+	n.transport = tcp.NewTransport(tcp.WatchEnds(opts.Network, n.ends.note))
+	if n.seed == 0 {
+		n.seed = rand.Uint64()
+	}
+	if n.incarnation == "" {
+		n.incarnation = NewIncarnation()
+	}
+	n.draws = n.random(streamDraws)
+	n.log = opts.Log.WithFields(log.Fields{"node": opts.Settings.Node.ID, "incarnation": string(n.incarnation)})
+	n.tree = supervisor.New(n.log)
+	sessions, err := session.NewKeys(secretBytes(opts.Settings.Secrets.Session)...)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n.engines = engine.NewClient(n.plainClient(), n.freshClient())
+	if err := n.makeParts(ctx); err != nil {
+		n.parts.close()
+		return nil, err
+	}
+	n.makeRouter(sessions)
+	handler, err := n.handler()
+	if err != nil {
+		n.parts.close()
+		return nil, err
+	}
+	n.listener, err = opts.Network.Listen(ctx, opts.Settings.Node.Listen)
+	if err != nil {
+		n.parts.close()
+		return nil, Error.Wrap(err)
+	}
+	n.server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    opts.Settings.Caller.MaxHeaderBytes,
+	}
+	n.addDuties()
+	return n, nil
+}
+
+func secretBytes(secrets []string) [][]byte {
+	keys := make([][]byte, len(secrets))
+	for i, secret := range secrets {
+		keys[i] = []byte(secret)
+	}
+	return keys
+}
+
+func (n *Node) makeRouter(sessions *session.Keys) {
+	limits := n.opts.Settings.Caller
+	n.answers = answer.NewStore(answer.StoreOptions{
+		MaxAnswers: limits.MaxAnswers, MaxBytes: limits.MaxKeptBytes, MaxAnswerBytes: limits.MaxAnswerBytes,
+		Keep: limits.KeepAnswers,
+	})
+	opts := router.Options{
+		Node:          n.opts.Settings.Node.NodeID(),
+		Incarnation:   n.incarnation,
+		FailureDomain: api.FailureDomain(n.opts.Settings.Node.FailureDomain),
+		Log:           n.log,
+		Metrics:       n.metrics,
+		Configs:       n.parts.configs,
+		Registry:      n.registry,
+		Answers:       n.answers,
+		Engines:       n.engines,
+		Plain:         plain.NewClient(n.plainClient(), n.freshClient()),
+		Sessions:      sessions,
+		Versions:      n.parts.versions,
+		Ratings:       n.parts.ratings,
+		Trials:        n.cluster.trials,
+		Copies:        n.parts.copies,
+		Draw:          n.draw,
+		Servers:       n.parts.servers,
+		Admission:     n.parts.admission,
+		Bills:         n.parts.bills,
+		Keys:          n.parts.keys,
+		Guard:         n.guard,
+		Pools:         n,
+	}
+	if n.opts.Alter != nil {
+		n.opts.Alter(&opts)
+	}
+	n.router = router.New(opts)
+}
+
+// draw returns a random number from 0 to 1.
+func (n *Node) draw() float64 {
+	n.drawMu.Lock()
+	defer n.drawMu.Unlock()
+	return n.draws.Float64()
+}
+
+// plainClient returns an HTTP client over the node's transport, without an overall timeout.
+func (n *Node) plainClient() *http.Client {
+	return &http.Client{Transport: n.transport, CheckRedirect: keepRedirect}
+}
+
+// freshClient returns an HTTP client that opens a connection for each request; nothing watches their ends.
+func (n *Node) freshClient() *http.Client {
+	return &http.Client{Transport: tcp.NewFreshTransport(n.opts.Network), CheckRedirect: keepRedirect}
+}
+
+// keepRedirect hands a redirection to the caller as it is.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (n *Node) handler() (http.Handler, error) {
+	callers := caller.NewServer(caller.Options{
+		Node:        n.opts.Settings.Node.NodeID(),
+		Incarnation: n.incarnation,
+		Log:         n.log,
+		Metrics:     n.metrics,
+		Configs:     n.parts.configs,
+		Router:      n.router,
+		Answers:     n.answers,
+		Addresses:   n,
+		Members:     n.parts.members,
+		Issuer:      n.parts.issuer,
+		Forward:     n.plainClient(),
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/", callers.Handler())
+	if err := n.handleOperators(mux); err != nil {
+		return nil, err
+	}
+	mux.HandleFunc("GET /healthz", n.health)
+	return mux, nil
+}
+
+// health answers 200 while the node may be sent new callers.
+func (n *Node) health(w http.ResponseWriter, _ *http.Request) {
+	if n.draining.Load() || !n.tree.IsHealthy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) addDuties() {
+	n.tree.Add(supervisor.Duty{Name: "caller-api", Run: n.serve})
+	n.tree.Add(supervisor.Duty{Name: "sweep", Run: n.router.Sweep})
+	n.tree.Add(supervisor.Duty{Name: "load-poll", Run: n.pollLoads})
+	n.tree.Add(supervisor.Duty{Name: "server-ends", Run: n.watchServerEnds})
+	n.tree.Add(supervisor.Duty{Name: "vm-list", Run: n.parts.vms.Run})
+	n.tree.Add(supervisor.Duty{Name: "discovery", Run: n.discover})
+	for _, duty := range n.parts.duties {
+		n.tree.Add(duty)
+	}
+}
+
+// Incarnation returns the id of this run of the node.
+func (n *Node) Incarnation() api.Incarnation { return n.incarnation }
--- /dev/null
+++ b/internal/node/ratings.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/rating"
+	"github.com/monsoonrail/monsoonrail/internal/ratingfeed"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/versionchoice"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// ratingWait is how long a cascade waits for a rating.
+const ratingWait = 500 * time.Millisecond
+
+// makeVersions makes the choice of versions and, where there is a rating service, what feeds it.
+func (n *Node) makeVersions() {
+	opts := versionchoice.Options{
+		Incarnation: n.incarnation, FailureDomain: api.FailureDomain(n.opts.Settings.Node.FailureDomain),
+		Rand: n.random(streamVersions),
+	}
+	base := n.opts.Settings.Platform.Rating
+	if base != "" {
+		opts.RatingWait = ratingWait
+	}
+	n.versions = versionchoice.New(opts)
+	n.parts.versions = n.versions
+	n.parts.duties = append(n.parts.duties, supervisor.Duty{Name: "estimates", Run: n.versions.Run})
+	if base == "" {
+		n.parts.ratings = noRatings{}
+		return
+	}
+	client := rating.NewClient(base, n.plainClient())
+	feed := ratingfeed.New(ratingfeed.Options{
+		Service: client, Source: n.incarnation, Counter: n.versions, Trials: n.cluster.trials, PerSecond: n.opts.Settings.Platform.RatingsPerSecond,
+		Wait: ratingWait, Metrics: n.metrics, Log: n.log,
+	})
+	poller := rating.NewPoller(rating.PollerOptions{
+		Client: client, Source: n.incarnation, Handle: feed.Handle, Rand: n.random(streamRatings), Log: n.log,
+	})
+	n.parts.ratings = feed
+	n.parts.duties = append(n.parts.duties,
+		supervisor.Duty{Name: "rating-feed", Run: feed.Run},
+		supervisor.Duty{Name: "rating-poll", Run: poller.Run})
+}
+
+// noRatings stands in where the platform has no rating service: quality is what the configuration assumes.
+type noRatings struct{}
+
+// Offer implements router.Rater.
+func (noRatings) Offer(router.RatedAnswer) {}
+
+// Rate implements router.Rater.
+func (noRatings) Rate(context.Context, router.RatedAnswer) (api.Quality, bool) { return 0, false }
--- /dev/null
+++ b/internal/node/rollouts.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"github.com/monsoonrail/monsoonrail/internal/copier"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
+	"github.com/monsoonrail/monsoonrail/internal/rollout"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/weightstore"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// dutyCandidates is how many nodes try to take a duty.
+const dutyCandidates = 3
+
+// rollOutDuties are those that carry roll-outs on and have the node's local stops accepted.
+func (n *Node) rollOutDuties() []supervisor.Duty {
+	manager := rollout.NewManager(rollout.ManagerOptions{
+		Node: n.opts.Settings.Node.NodeID(), Incarnation: n.incarnation, Store: n.rollOuts, Leases: n.store,
+		Configs: n.cluster.follower, Acceptor: n.cluster.acceptor, Results: n.cluster.trials, Servers: n.PoolOf,
+		IsCandidate: func(service api.Service) bool { return n.isCandidate(string(service) + "/" + rollout.DutyName) },
+		Client:      n.plainClient(), Weights: n.weights(),
+		CanCopy:       true,
+		AwaitsRatings: n.opts.Settings.Platform.Rating != "", Seed: n.seed, Log: n.log,
+	})
+	withdrawer := rollout.NewWithdrawer(rollout.WithdrawerOptions{
+		Node: n.opts.Settings.Node.NodeID(), Stops: n.cluster.trials.Confirmed, Configs: n.cluster.follower,
+		Acceptor: n.cluster.acceptor, Log: n.log,
+	})
+	return []supervisor.Duty{
+		{Name: "roll-outs", Run: manager.Run},
+		{Name: "withdrawals", Run: withdrawer.Run},
+	}
+}
+
+// isCandidate reports whether this node is one of the few that try to take a duty.
+func (n *Node) isCandidate(duty string) bool {
+	first := rendezvous.Top(duty, n.liveNodes(), dutyCandidates)
+	return slices.Contains(first, n.opts.Settings.Node.NodeID())
+}
+
+// weights tells roll-outs how fast versions can be loaded; nil if the platform has no weight store.
+func (n *Node) weights() rollout.WeightStore {
+	base := n.opts.Settings.Platform.WeightStore
+	if base == "" {
+		return nil
+	}
+	return rollout.NewCachedWeights(weightstore.NewClient(base, n.plainClient()))
+}
+
+// makeCopier makes the duty that sends copies of answered requests to candidates under suspicion.
+func (n *Node) makeCopier() {
+	made := copier.New(copier.Options{
+		Trials: n.cluster.trials, Configs: n.parts.configs, Rater: n.parts.ratings, Guard: n.guard, Registry: n.registry,
+		Engines: n.engines, NoteDeath: n.noteDeath, Draw: n.draw, Log: n.log,
+	})
+	n.parts.copies = copies{made}
+	n.parts.duties = append(n.parts.duties, supervisor.Duty{Name: "copies", Run: made.Run})
+}
+
+func (n *Node) noteDeath(ctx context.Context, server *registry.Server, err error) {
+	n.router.NoteDeath(ctx, server, err)
+}
+
+// copies implements router.Copies.
+type copies struct{ copier *copier.Copier }
+
+// Offer implements router.Copies.
+func (c copies) Offer(answered router.AnsweredRequest) { c.copier.Offer(copier.Original(answered)) }
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/monsoonrail/monsoonrail/internal/acceptance"
+	"github.com/monsoonrail/monsoonrail/internal/cascade"
+	"github.com/monsoonrail/monsoonrail/internal/follower"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+func (n *Node) serve(ctx context.Context) error { return serveUntil(ctx, n.server, n.listener) }
+
+// serveUntil serves until ctx ends; a server that was shut down before waits for that.
+func serveUntil(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return Error.Wrap(err)
+}
+
+// Configs returns the node's copy of the configuration.
+func (n *Node) Configs() *follower.Follower { return n.cluster.follower }
+
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() metrics.Registry { return n.metrics.Registry() }
+
+// Acceptor returns what has changes accepted.
+func (n *Node) Acceptor() *acceptance.Acceptor { return n.cluster.acceptor }
+
+// Estimate returns what the node knows of a version's quality in a class.
+func (n *Node) Estimate(service api.Service, class api.Class, v api.VersionID) cascade.Estimate {
+	return n.versions.Estimate(service, class, v)
+}
+
+// Run serves until ctx ends, then shuts down gracefully: no request is cut.
+func (n *Node) Run(ctx context.Context) error {
+	dutyCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- n.tree.Run(dutyCtx) }()
+	n.log.Info("node started")
+	select {
+	case err := <-ended:
+		n.Close()
+		return Error.Wrap(err)
+	case <-ctx.Done():
+	}
+	n.drain()
+	stop()
+	err := <-ended
+	n.Close()
+	n.log.Info("node stopped")
+	return Error.Wrap(err)
+}
+
+// drain leaves the address answers, serves for as long as it promised addresses, and lets its requests end.
+func (n *Node) drain() {
+	n.draining.Store(true)
+	n.log.Info("node drains")
+	n.parts.announceDrain()
+	time.Sleep(n.opts.Settings.Node.AddressKeep)
+	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Settings.Node.DrainTimeout)
+	defer cancel()
+	if !n.router.Drain(ctx) {
+		n.log.WithField("running", n.router.Running()).Warn("drain timeout, requests are ended")
+		// Their callers are told so while the server still delivers answers.
+		n.router.Close()
+	}
+	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancelShutdown()
+	if err := n.server.Shutdown(shutdownCtx); err != nil {
+		n.log.WithError(err).Warn("connections still open at shutdown")
+	}
+	n.parts.flush(shutdownCtx)
+}
+
+// Close ends everything at once and waits for it; requests that still run are ended.
+func (n *Node) Close() {
+	n.closing.Do(func() {
+		_ = n.server.Close()
+		n.router.Close()
+		n.parts.close()
+		n.transport.CloseIdleConnections()
+	})
+}
--- /dev/null
+++ b/internal/node/share_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonrail/monsoonrail/internal/admission"
+	"github.com/monsoonrail/monsoonrail/internal/limit"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// TestRoundedUsage checks that rounding changes a report little, never makes it newer, and changes a rounded one no more: else each
+// node that hands it on would make news of it.
+func TestRoundedUsage(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		asOf := time.Date(2026, 12, 1, 12, 0, 0, rapid.IntRange(0, 999_999_999).Draw(rt, "nanoseconds"), time.FixedZone("here", 3600))
+		used := rapid.Float64Range(0, 1e6).Draw(rt, "used")
+		report := admission.UsageReport{Incarnation: "i", Usage: limit.TeamUsage{AsOf: asOf, Seconds: map[api.Team]float64{"a": used}}}
+		once := roundedUsage(map[string]admission.UsageReport{"i": report})
+		got := once["i"].Usage
+		if math.Abs(got.Seconds["a"]-used) > 0.05*used+usageUnit {
+			rt.Fatalf("%v became %v", used, got.Seconds["a"])
+		}
+		if got.AsOf.After(asOf) || asOf.Sub(got.AsOf) >= usageTime {
+			rt.Fatalf("%v became %v", asOf, got.AsOf)
+		}
+		if twice := roundedUsage(once); !reflect.DeepEqual(twice, once) {
+			rt.Fatalf("%v became %v", once, twice)
+		}
+		if report.Usage.Seconds["a"] != used {
+			rt.Fatal("the report itself was changed")
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/operatorpb/doc.go
@@ -0,0 +1,2 @@
+// Package operatorpb holds the generated messages of the operators' API.
+package operatorpb
--- /dev/null
+++ b/internal/operator/operatorpb/operatorpbconnect/doc.go
@@ -0,0 +1,2 @@
+// Package operatorpbconnect holds the generated client and server of the operators' API.
+package operatorpbconnect
--- /dev/null
+++ b/internal/operator/sources.go
@@ -0,0 +1,31 @@
+package operator
+
+import (
+	"github.com/monsoonrail/monsoonrail/internal/follower"
+	"github.com/monsoonrail/monsoonrail/internal/peer"
+)
+
+// StatusFrom returns the Status option for a node's follower.
+func StatusFrom(f *follower.Follower) func() ConfigStatus {
+	return func() ConfigStatus {
+		status := f.Status()
+		return ConfigStatus{
+			Since: status.Since, Store: string(status.Service), IsAlarm: status.Service.IsAlarm(), Detail: status.Detail,
+		}
+	}
+}
+
+// MembersFrom returns the Members option for a node's part of the peer exchange: the members that it knows, which are
+// those of its own failure domain and a few of each other one.
+func MembersFrom(e *peer.Exchange) func() []Member {
+	return func() []Member {
+		var members []Member
+		for _, m := range e.Members() {
+			members = append(members, Member{
+				Node: m.Node, FailureDomain: m.FailureDomain, Revision: m.Revision,
+				Draining: m.Draining, LastHeard: m.LastHeard,
+			})
+		}
+		return members
+	}
+}
--- /dev/null
+++ b/internal/peer/membership_test.go
@@ -0,0 +1,113 @@
+package peer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// suspicion is how long a silent member may still be listed: the time to suspect it, and that in which its last
+// heartbeat came.
+const suspicion = 25 * time.Second
+
+// drainHeard is the few seconds within which all nodes must know that one takes no new work.
+const drainHeard = 3 * time.Second
+
+func TestMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 8, 4)
+		defer g.close()
+		for i := range 8 {
+			g.start(i, nodeOptions{})
+		}
+		time.Sleep(15 * time.Second)
+		for _, n := range g.nodes {
+			qt.Assert(t, n.Members(), qt.HasLen, 8)
+		}
+		g.nodes[3].SetDraining(true)
+		g.nodes[4].SetLoad(0.5)
+		time.Sleep(drainHeard)
+		for _, n := range g.nodes {
+			member, ok := n.sees("n3")
+			qt.Assert(t, ok && member.Draining, qt.IsTrue)
+		}
+
+		g.network.Kill(ipOf(2))
+		g.nodes[2].stop()
+		time.Sleep(suspicion)
+		for i, n := range g.nodes {
+			if _, ok := n.sees("n2"); i != 2 {
+				qt.Assert(t, ok, qt.IsFalse)
+			}
+		}
+		loaded, _ := g.nodes[0].sees("n4")
+		qt.Assert(t, loaded.Load, qt.Equals, 0.5)
+
+		g.start(2, nodeOptions{run: 1})
+		time.Sleep(15 * time.Second)
+		for i, n := range g.nodes {
+			if member, _ := n.sees("n2"); i != 2 {
+				qt.Assert(t, member.Incarnation, qt.Equals, api.Incarnation("n2-1"))
+			}
+		}
+	})
+}
+
+// TestMembershipIsBounded checks that a node keeps a few contacts only of other failure domains, and that nobody is
+// suspected while all is well.
+func TestMembershipIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 48, 4)
+		defer g.close()
+		for i := range 48 {
+			g.start(i, nodeOptions{})
+		}
+		time.Sleep(30 * time.Second)
+		for range 60 {
+			for _, n := range g.nodes {
+				own := 0
+				for _, member := range n.Members() {
+					if member.FailureDomain == n.Members()[0].FailureDomain {
+						own++
+					}
+				}
+				qt.Assert(t, len(n.Members()) <= 12+3*4, qt.IsTrue, qt.Commentf("%d members", len(n.Members())))
+				qt.Assert(t, len(n.Members()) >= 12+3, qt.IsTrue, qt.Commentf("%d members", len(n.Members())))
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// TestSeedsOfUnknownDomain names seeds without their failure domains, as settings do, and checks that a node doesn't
+// go on calling those that it keeps no record of.
+func TestSeedsOfUnknownDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 24, 2)
+		defer g.close()
+		for i := range g.seeds {
+			g.seeds[i].FailureDomain = ""
+		}
+		for i := range 24 {
+			g.start(i, nodeOptions{})
+		}
+		time.Sleep(3 * time.Minute)
+		for _, n := range g.nodes {
+			qt.Assert(t, len(n.Members()) <= 12+4, qt.IsTrue)
+			qt.Assert(t, len(n.Members()) >= 12+3, qt.IsTrue)
+		}
+		before := g.nodes[0].seedCalls()
+		time.Sleep(2 * time.Minute)
+		// 8 nodes of the other failure domain are no contacts; each is called once in two minutes.
+		calls := g.nodes[0].seedCalls() - before
+		qt.Assert(t, calls <= 12, qt.IsTrue, qt.Commentf("%d calls", calls))
+	})
+}
+
+// seedCalls counts the calls to seeds.
+func (n *node) seedCalls() int64 { return n.registry.Get("peer.seed_calls").(metrics.Counter).Count() }
--- /dev/null
+++ b/internal/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated messages of the exchange between the system's own nodes.
+package peerpb
--- /dev/null
+++ b/internal/poison/guard_test.go
@@ -0,0 +1,276 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+func poolOf(servers ...api.ServerID) []Member {
+	var pool []Member
+	for _, server := range servers {
+		pool = append(pool, Member{Server: server})
+	}
+	return pool
+}
+
+// fleet is a set of nodes before a pool of servers, some of them cut from each other.
+type fleet struct {
+	guards []*Guard
+	// ahead holds by how much each node's clock is ahead.
+	ahead   []time.Duration
+	cut     [][]bool
+	pool    []api.ServerID
+	dead    map[api.ServerID]bool
+	leaving map[api.ServerID]bool
+	// told holds the servers of which each node knows that they leave.
+	told    []map[api.ServerID]bool
+	crashes int
+	now     time.Time
+}
+
+func newFleet(nodes, servers int) *fleet {
+	f := &fleet{dead: map[api.ServerID]bool{}, leaving: map[api.ServerID]bool{}, now: start}
+	for range nodes {
+		f.guards = append(f.guards, NewGuard(start))
+		f.cut = append(f.cut, make([]bool, nodes))
+		f.ahead = append(f.ahead, 0)
+		f.told = append(f.told, map[api.ServerID]bool{})
+	}
+	for i := range servers {
+		f.pool = append(f.pool, api.ServerID(fmt.Sprintf("server-%d", i)))
+	}
+	return f
+}
+
+// at returns the time by a node's clock.
+func (f *fleet) at(node int) time.Time { return f.now.Add(f.ahead[node]) }
+
+// exchange lets nodes that aren't cut from each other tell all they know.
+func (f *fleet) exchange() {
+	for i, guard := range f.guards {
+		isWhole := true
+		for j, peer := range f.guards {
+			if f.cut[i][j] {
+				isWhole = false
+				continue
+			}
+			guard.Merge(peer.Suspicions(f.at(j)))
+		}
+		if isWhole {
+			guard.Heard(f.at(i))
+		}
+	}
+}
+
+// seenBy returns the pool as a node sees it.
+func (f *fleet) seenBy(node int) []Member {
+	pool := poolOf(f.pool...)
+	for i := range pool {
+		pool[i].Leaving = f.told[node][pool[i].Server]
+	}
+	return pool
+}
+
+// send sends a poison request through a node, which would run it on the server that pick names.
+func (f *fleet) send(node int, poison Fingerprint, pick int) {
+	guard := f.guards[node]
+	verdict, _ := guard.Judge(poison, f.at(node))
+	if verdict == VerdictRefused {
+		return
+	}
+	server := f.pool[pick%len(f.pool)]
+	if verdict == VerdictGuarded {
+		placed, ok := guard.Place(poison, f.seenBy(node), f.at(node))
+		if !ok {
+			return
+		}
+		server = placed
+	}
+	if f.dead[server] {
+		return
+	}
+	if f.leaving[server] {
+		f.told[node][server] = true
+		return
+	}
+	f.crashes++
+	f.die(server)
+	told := guard.Crashed(server, []Fingerprint{poison}, f.at(node))
+	for j, peer := range f.guards {
+		if !f.cut[node][j] {
+			peer.Merge(told)
+		}
+	}
+}
+
+// die ends a server. Every node has connections to it and sees them end; only one that ran something there knows what it was.
+func (f *fleet) die(server api.ServerID) {
+	f.dead[server] = true
+	for i, g := range f.guards {
+		g.Died(server, f.at(i))
+	}
+}
+
+// TestPoisonCrashesAtMostTwo lets a caller resend a poison request without end through all nodes
+// while they are cut from each other in any way, for up to 30 s, and servers restart, leave and die of other causes meanwhile,
+// many at once.
+func TestPoisonCrashesAtMostTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 8).Draw(t, "nodes")
+		f := newFleet(nodes, rapid.IntRange(2, 18).Draw(t, "servers"))
+		for i := range nodes {
+			f.ahead[i] = time.Duration(rapid.IntRange(0, 300).Draw(t, "ahead")) * time.Millisecond
+			for j := range i {
+				f.cut[i][j] = rapid.Bool().Draw(t, "cut")
+				f.cut[j][i] = f.cut[i][j]
+			}
+		}
+		poison := Fingerprint(rapid.Uint64().Draw(t, "poison"))
+		healAt := start.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "cutSeconds")) * time.Second)
+		exchanged := start
+		for range 150 {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "pause")) * time.Millisecond)
+			if !f.now.Before(healAt) {
+				f.cut = newFleet(nodes, 0).cut
+			}
+			if rapid.Bool().Draw(t, "exchange") || f.now.Sub(exchanged) > HeardWithin/2 {
+				f.exchange()
+				exchanged = f.now
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				f.dead = map[api.ServerID]bool{}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "outage") == 0 {
+				for range rapid.IntRange(1, 4).Draw(t, "dying") {
+					f.die(f.pool[rapid.IntRange(0, len(f.pool)-1).Draw(t, "victim")])
+				}
+			}
+			if rapid.IntRange(0, 29).Draw(t, "leave") == 0 {
+				leaving := f.pool[rapid.IntRange(0, len(f.pool)-1).Draw(t, "leaving")]
+				f.leaving[leaving] = true
+				f.told[rapid.IntRange(0, nodes-1).Draw(t, "told")][leaving] = true
+			}
+			f.send(rapid.IntRange(0, nodes-1).Draw(t, "node"), poison, rapid.IntRange(0, 99).Draw(t, "pick"))
+		}
+		if f.crashes > MaxCrashes {
+			t.Fatalf("%d servers crashed", f.crashes)
+		}
+	})
+}
+
+// TestPlaceIsNotLostToAnotherDeath lets a request's server die together with the one that the request is to run on next. Once
+// the peers have told that the request did not run there, it is placed on a third.
+func TestPlaceIsNotLostToAnotherDeath(t *testing.T) {
+	const innocent Fingerprint = 7
+	pool := poolOf("a", "b", "c", "d")
+	guard := NewGuard(start)
+	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	next, ok := guard.Place(innocent, pool, start.Add(time.Millisecond))
+	qt.Assert(t, ok, qt.IsTrue)
+	guard.Died(next, start.Add(2*time.Millisecond))
+	now := start.Add(time.Second)
+	_, ok = guard.Place(innocent, pool, now)
+	qt.Assert(t, ok, qt.IsFalse)
+
+	now = start.Add(NoticeWithin + time.Second)
+	guard.Heard(now)
+	placed, ok := guard.Place(innocent, pool, now)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, placed != next && placed != "a", qt.IsTrue)
+
+	guard.Crashed(placed, []Fingerprint{innocent}, now)
+	verdict, _ := guard.Judge(innocent, now)
+	qt.Assert(t, verdict, qt.Equals, VerdictRefused)
+}
+
+// TestPlaceInSmallPool lets both servers of a pool die; the request that ran on one of them runs on the other once it is back.
+func TestPlaceInSmallPool(t *testing.T) {
+	const innocent Fingerprint = 7
+	guard := NewGuard(start)
+	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	guard.Died("b", start.Add(time.Millisecond))
+	now := start.Add(NoticeWithin + time.Second)
+	guard.Heard(now)
+	placed, ok := guard.Place(innocent, poolOf("a", "b"), now)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, placed, qt.Equals, api.ServerID("b"))
+}
+
+// TestPlaceIsNotALeavingServer passes over a server that would refuse the request.
+func TestPlaceIsNotALeavingServer(t *testing.T) {
+	const innocent Fingerprint = 7
+	guard := NewGuard(start)
+	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	pool := poolOf("a", "b", "c")
+	for range 2 {
+		placed, ok := guard.Place(innocent, pool, start.Add(time.Second))
+		qt.Assert(t, ok, qt.IsTrue)
+		for i := range pool {
+			qt.Assert(t, pool[i].Leaving && pool[i].Server == placed, qt.IsFalse)
+			pool[i].Leaving = pool[i].Leaving || pool[i].Server == placed
+		}
+	}
+	_, ok := guard.Place(innocent, pool, start.Add(time.Second))
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestInnocentIsReleased checks both ways out: a run to the end, and ReleaseAfter.
+func TestInnocentIsReleased(t *testing.T) {
+	const innocent Fingerprint = 7
+	guard := NewGuard(start)
+	guard.Crashed("a", []Fingerprint{innocent}, start)
+	verdict, _ := guard.Judge(innocent, start)
+	qt.Assert(t, verdict, qt.Equals, VerdictGuarded)
+	_, cleared := guard.Finished(innocent, start.Add(time.Second))
+	qt.Assert(t, cleared, qt.IsTrue)
+	guard.Heard(start.Add(time.Second))
+	verdict, _ = guard.Judge(innocent, start.Add(time.Second))
+	qt.Assert(t, verdict, qt.Equals, VerdictFree)
+
+	later := start.Add(time.Minute)
+	guard.Crashed("a", []Fingerprint{innocent}, later)
+	guard.Crashed("b", []Fingerprint{innocent}, later.Add(time.Second))
+	verdict, after := guard.Judge(innocent, later.Add(2*time.Second))
+	qt.Assert(t, verdict, qt.Equals, VerdictRefused)
+	qt.Assert(t, after, qt.Equals, ReleaseAfter-time.Second)
+	released := later.Add(time.Second + ReleaseAfter)
+	guard.Heard(released)
+	verdict, _ = guard.Judge(innocent, released)
+	qt.Assert(t, verdict, qt.Equals, VerdictFree)
+}
+
+// TestRefusalOfUnknownIsShort checks that a request that nobody suspects is told to come back before the alarm ends.
+func TestRefusalOfUnknownIsShort(t *testing.T) {
+	const unknown Fingerprint = 9
+	guard := NewGuard(start)
+	pool := poolOf("a", "b")
+	for i, member := range pool {
+		guard.Died(member.Server, start.Add(time.Duration(i+1)*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	verdict, _ := guard.Judge(unknown, now)
+	qt.Assert(t, verdict, qt.Equals, VerdictGuarded)
+	_, ok := guard.Place(unknown, pool, now)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, guard.RetryAfter(unknown, now) < AlarmFor, qt.IsTrue)
+}
+
+func TestFingerprintKeepsPartsApart(t *testing.T) {
+	qt.Assert(t, FingerprintOf([]byte("ab"), []byte("c")) != FingerprintOf([]byte("a"), []byte("bc")), qt.IsTrue)
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	guard := NewGuard(start)
+	for i := range MaxSuspects + 10 {
+		guard.Crashed("a", []Fingerprint{Fingerprint(i)}, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	qt.Assert(t, len(guard.Suspicions(start.Add(time.Minute))), qt.Equals, MaxSuspects)
+}
--- /dev/null
+++ b/internal/poison/poison.go
@@ -0,0 +1,109 @@
+// Package poison keeps a request that crashes servers from crashing more than two in the whole fleet,
+// also while nodes are cut from each other. It does no I/O and holds no clock.
+//
+// A fingerprint of the request is suspected when a server dies while running it. Suspicions spread between nodes;
+// a suspect may run once more, on one server that all nodes agree on, and after its second crash it is refused
+// until ReleaseAfter has passed. A node that has seen a server die and hasn't yet heard from its peers what ran on it
+// treats every fingerprint that it doesn't know to be harmless like a suspect, because a peer that is cut off
+// may have sent the request there.
+package poison
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Fingerprint names requests of the same content, whatever their ids.
+type Fingerprint uint64
+
+// FingerprintOf hashes the parts of a request that decide what a server does with it: service, method, path and body.
+func FingerprintOf(parts ...[]byte) Fingerprint {
+	digest := xxhash.New()
+	for _, part := range parts {
+		var length [8]byte
+		n := uint64(len(part))
+		for i := range length {
+			length[i] = byte(n >> (8 * i))
+		}
+		_, _ = digest.Write(length[:])
+		_, _ = digest.Write(part)
+	}
+	return Fingerprint(digest.Sum64())
+}
+
+// Bounds and times of the guard.
+const (
+	// MaxCrashes is the number of servers that one fingerprint may crash.
+	MaxCrashes = 2
+	// ReleaseAfter is how long after its last crash a fingerprint is suspected.
+	ReleaseAfter = 10 * time.Minute
+	// AlarmFor is how long a node is careful after a server's death, or after it was cut off, unless it has heard
+	// from all its peers since. It is longer than the cuts through which the bound on crashes holds.
+	AlarmFor = time.Minute
+	// NoticeWithin bounds the time from a server's death until every node whose requests ran there has noticed it.
+	NoticeWithin = 3 * time.Second
+	// deathKept is how long a death matters to the place of a request, by the clock of any node.
+	deathKept = AlarmFor + 2*clockSkew
+	// clockSkew bounds how far the times are apart at which two nodes see the same death.
+	clockSkew = 5 * time.Second
+	// HeardWithin is how old the peers' news may be before the node counts as cut off.
+	HeardWithin = 5 * time.Second
+	// maxKeptCrashes bounds the crashes kept of one fingerprint; the latest stay.
+	maxKeptCrashes = 4
+	// MaxSuspects bounds the suspected fingerprints; over it the one whose last crash is oldest is forgotten.
+	MaxSuspects = 4096
+	// MaxHarmless bounds the fingerprints known to be harmless; over it the older half is forgotten.
+	MaxHarmless = 8192
+)
+
+// Crash is the death of a server while it ran a request.
+type Crash struct {
+	Server api.ServerID
+	At     time.Time
+}
+
+// Suspicion is what is known against a fingerprint, as it travels between nodes.
+type Suspicion struct {
+	Fingerprint Fingerprint
+	// Crashes holds at most one crash of each server, ordered by server.
+	Crashes []Crash
+	// ClearedAt is when the fingerprint last ran to its end; earlier crashes don't count. Zero if never.
+	ClearedAt time.Time
+}
+
+// count returns the number of servers that died since the suspicion was cleared, and when the last did.
+func (s *Suspicion) count(now time.Time) (crashes int, last time.Time) {
+	for _, crash := range s.Crashes {
+		if !s.counts(crash, now) {
+			continue
+		}
+		crashes++
+		if crash.At.After(last) {
+			last = crash.At
+		}
+	}
+	return crashes, last
+}
+
+// Member is a server of a pool.
+type Member struct {
+	Server api.ServerID
+	// Leaving tells that the server refuses new work.
+	Leaving bool
+}
+
+// Verdict says how a request may be dispatched.
+type Verdict int
+
+// Verdicts.
+const (
+	// VerdictFree lets the request run on any server.
+	VerdictFree Verdict = iota
+	// VerdictGuarded lets the request run only on the server that Place names, without retry and hedge.
+	VerdictGuarded
+	// VerdictRefused keeps the request from running.
+	VerdictRefused
+)
--- /dev/null
+++ b/internal/rating/poller.go
@@ -0,0 +1,81 @@
+package rating
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// DefaultInterval is the mean time between two reads of the ratings.
+const DefaultInterval = 2 * time.Second
+
+// PollerOptions configures NewPoller.
+type PollerOptions struct {
+	Client *Client
+	// Source is this node's incarnation, for whose answers the ratings are read.
+	Source api.Incarnation
+	// Handle is called with each rating once, in order, from the duty's goroutine; it must not block.
+	Handle func(Rating)
+	// Interval is the mean time between reads; 0 means DefaultInterval.
+	Interval time.Duration
+	// After is the sequence number to begin after.
+	After int64
+	Rand  *rand.Rand
+	Log   log.Interface
+}
+
+// Poller is the duty that reads the ratings as they come. What comes during an outage of the service is read after it.
+type Poller struct {
+	opts  PollerOptions
+	after int64
+}
+
+// NewPoller returns a poller that has read nothing.
+func NewPoller(opts PollerOptions) *Poller {
+	if opts.Interval == 0 {
+		opts.Interval = DefaultInterval
+	}
+	return &Poller{opts: opts, after: opts.After}
+}
+
+// Run reads ratings until ctx ends.
+func (p *Poller) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+		if err := p.readAll(ctx); err != nil {
+			p.opts.Log.WithError(err).Warn("ratings not read")
+		}
+		half := p.opts.Interval / 2
+		timer.Reset(half + time.Duration(p.opts.Rand.Int64N(int64(2*half)+1)))
+	}
+}
+
+// readAll reads pages until one is empty.
+func (p *Poller) readAll(ctx context.Context) error {
+	for {
+		page, err := p.opts.Client.Fetch(ctx, p.opts.Source, p.after)
+		if err != nil {
+			return err
+		}
+		for _, rating := range page.Ratings {
+			if rating.Seq > p.after && rating.Quality >= 0 && rating.Quality <= 1 {
+				p.opts.Handle(rating)
+			}
+		}
+		isLast := len(page.Ratings) == 0 || page.Next <= p.after
+		p.after = max(p.after, page.Next)
+		if isLast {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/change.go
@@ -0,0 +1,42 @@
+package rollout
+
+import (
+	"slices"
+
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// changed returns the configuration with what a roll-out's phase wants; config itself is left alone.
+// The error is IsErrVersionNotExist.
+func changed(config *fleet.Config, r RollOut) (*fleet.Config, error) {
+	next := *config
+	next.Services = slices.Clone(config.Services)
+	set := func(v *fleet.Version) { v.State, v.Share = r.Wanted(), 0 }
+	if err := setVersion(&next, r.Plan.Service, r.Plan.Version, set); err != nil {
+		return nil, err
+	}
+	if r.Phase != PhaseDone || !r.Plan.DrainControl {
+		return &next, nil
+	}
+	drain := func(v *fleet.Version) { v.State, v.Share = fleet.StateDraining, 0 }
+	return &next, setVersion(&next, r.Plan.Service, r.Plan.Control, drain)
+}
+
+// setVersion changes a copy of a version within a configuration whose list of services is its own.
+func setVersion(config *fleet.Config, name api.Service, id api.VersionID, set func(*fleet.Version)) error {
+	for i := range config.Services {
+		service := &config.Services[i]
+		if _, ok := service.FindVersion(id); !ok || service.Name != name {
+			continue
+		}
+		service.Models = slices.Clone(service.Models)
+		for j := range service.Models {
+			service.Models[j].Versions = slices.Clone(service.Models[j].Versions)
+		}
+		version, _ := service.FindVersion(id)
+		set(version)
+		return nil
+	}
+	return Error.Wrap(&ErrVersionNotExist{Service: name, Version: id})
+}
--- /dev/null
+++ b/internal/rollout/loads_test.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/order"
+	"github.com/monsoonrail/monsoonrail/internal/weightstore"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+func TestLoadsFollowTheWeightStoresRate(t *testing.T) {
+	const gigabyte = 1 << 30
+	for _, test := range []struct {
+		weights Weights
+		loading int
+		want    int
+	}{
+		{Weights{}, 0, blindLoads},
+		{Weights{}, blindLoads, 0},
+		// 30 s each: four fit into the two minutes.
+		{Weights{Bytes: 30 * gigabyte, BytesPerSecond: gigabyte}, 0, 4},
+		{Weights{Bytes: 30 * gigabyte, BytesPerSecond: gigabyte}, 3, 1},
+		{Weights{Bytes: 30 * gigabyte, BytesPerSecond: gigabyte, Waiting: 9}, 0, 0},
+		// A version too large for the time is loaded by one server after the other.
+		{Weights{Bytes: 999 * gigabyte, BytesPerSecond: gigabyte}, 0, 1},
+		{Weights{Bytes: 999 * gigabyte, BytesPerSecond: gigabyte}, 1, 0},
+	} {
+		qt.Check(t, loadsAllowed(test.weights, test.loading), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
+func TestLoadsAreSpreadOverFailureDomains(t *testing.T) {
+	var seats []Seat
+	for i := range 8 {
+		seats = append(seats, Seat{Server: fleet.Server{
+			ID: api.ServerID(fmt.Sprint("s", i)), FailureDomain: api.FailureDomain(fmt.Sprint("d", i/4)),
+		}})
+	}
+	seats[0].Status = order.StatusLoaded
+	seats[1].FailedAt = simStart
+	seats[2].Server.Leaving = true
+	seats[3].Unreachable = true
+	r, err := Start(simPlan(), simStart)
+	qt.Assert(t, err, qt.IsNil)
+	r.Phase, r.Step = PhaseGrowing, len(r.Plan.Steps)-1
+	due := ordersDue(r, seats, Weights{}, simStart.Add(time.Minute))
+	qt.Assert(t, due, qt.HasLen, blindLoads)
+	for _, d := range due {
+		qt.Check(t, d.Server.FailureDomain, qt.Equals, api.FailureDomain("d1"))
+	}
+	seats[1].FailedAt = simStart.Add(-reloadAfter)
+	seats[4].Status = order.StatusLoaded
+	qt.Assert(t, ordersDue(r, seats, Weights{}, simStart.Add(time.Minute))[0].Server.ID, qt.Equals, api.ServerID("s1"))
+}
+
+func TestWeightsAreAskedSeldom(t *testing.T) {
+	calls := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls[r.URL.Path]++
+		if r.URL.Path == "/v1/rate" {
+			fmt.Fprint(w, `{"BytesPerSecond": 1000, "Waiting": 2}`)
+			return
+		}
+		fmt.Fprint(w, `{"Version": "tutor@v2", "Bytes": 5000}`)
+	}))
+	defer server.Close()
+	weights := NewCachedWeights(weightstore.NewClient(server.URL, server.Client()))
+	for range 3 {
+		got, err := weights.Weights(t.Context(), simPlan().Version)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, Weights{Bytes: 5000, BytesPerSecond: 1000, Waiting: 2})
+	}
+	qt.Assert(t, calls, qt.DeepEquals, map[string]int{"/v1/rate": 1, "/v1/weights/tutor@v2": 1})
+}
