--- /dev/null
+++ b/internal/rollout/system_test.go
@@ -0,0 +1,298 @@
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/fake/enginefake"
+	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/lease"
+	"github.com/monsoonrail/monsoonrail/internal/order"
+	"github.com/monsoonrail/monsoonrail/internal/peer"
+	"github.com/monsoonrail/monsoonrail/internal/rollout"
+	"github.com/monsoonrail/monsoonrail/internal/suspect"
+	"github.com/monsoonrail/monsoonrail/internal/trial"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const service = api.Service("tutor-llm")
+
+var (
+	v1  = api.VersionID{Model: "tutor", Version: "v1"}
+	v2  = api.VersionID{Model: "tutor", Version: "v2"}
+	key = suspect.Key{Service: service, Version: v2, Class: "review"}
+)
+
+// engines route calls to engines by the host of the URL.
+type engines map[string]*enginefake.Engine
+
+func (e engines) RoundTrip(req *http.Request) (resp *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			resp, err = nil, http.ErrServerClosed
+		}
+	}()
+	engine, ok := e[req.URL.Host]
+	if !ok || engine.IsDown() {
+		return nil, http.ErrServerClosed
+	}
+	recorder := httptest.NewRecorder()
+	engine.ServeHTTP(recorder, req)
+	return recorder.Result(), nil
+}
+
+// system is a few nodes with all that a roll-out needs, in one process and virtual time.
+type system struct {
+	*qt.C
+	kv      *kvfake.Service
+	config  *configLog
+	engines engines
+	servers []fleet.Server
+	nodes   []*node
+	store   *rollout.Store
+	ctx     context.Context
+
+	mu sync.Mutex
+	// errors is the failed share of the candidate's answers.
+	errors float64
+	// exposed counts callers' requests on the candidate since the fault set in.
+	exposed int
+	// cut holds the nodes that exchange nothing.
+	cut map[int]bool
+}
+
+type node struct {
+	*trial.Node
+	id   api.NodeID
+	stop context.CancelFunc
+}
+
+const nodeCount = 4
+
+func start(t *testing.T) *system {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &system{C: qt.New(t), kv: kvfake.New(), engines: engines{}, ctx: ctx, cut: map[int]bool{}}
+	s.config = newConfigLog(ctx, s.kv.Store())
+	s.store = rollout.NewStore(s.kv.Store())
+	for i := range 4 {
+		address := fmt.Sprintf("10.0.0.%d:80", i)
+		server := fleet.Server{ID: api.ServerID(fmt.Sprintf("s%d", i)), Service: service, Address: address}
+		s.servers = append(s.servers, server)
+		s.engines[address] = enginefake.New(enginefake.Options{
+			ID: server.ID, ChecksFencing: true, Unloaded: []api.VersionID{v2},
+			Versions: []enginefake.Version{{ID: v1}, {ID: v2, LoadTime: 5 * time.Second}},
+		})
+	}
+	for i := range nodeCount {
+		s.addNode(i)
+	}
+	go s.exchange()
+	go s.traffic()
+	s.Cleanup(func() {
+		cancel()
+		for _, engine := range s.engines {
+			engine.Close()
+		}
+		synctest.Wait()
+	})
+	return s
+}
+
+func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
+
+// addNode starts a node with every duty; faults wraps what its holder uses.
+func (s *system) addNode(i int) {
+	ctx, stop := context.WithCancel(s.ctx)
+	id := api.NodeID(fmt.Sprintf("n%d", i))
+	n := &node{id: id, stop: stop, Node: trial.New(trial.Options{
+		Node: id, Incarnation: api.Incarnation(id) + "-1", Configs: s.config, Log: quiet(),
+	})}
+	s.nodes = append(s.nodes, n)
+	withdrawer := rollout.NewWithdrawer(rollout.WithdrawerOptions{
+		Node: id, Stops: n.Stops, Configs: s.config, Acceptor: s.config, Log: quiet(),
+	})
+	go func() { _ = n.Run(ctx) }()
+	go func() { _ = withdrawer.Run(ctx) }()
+}
+
+// hold lets a node carry the roll-out on; crash, if not nil, is asked before and after each call and ends the holder.
+func (s *system) hold(n *node, crash func(stop context.CancelFunc)) {
+	ctx, stop := context.WithCancel(s.ctx)
+	s.Cleanup(stop)
+	held := lease.New(lease.Options{
+		Store: s.kv.Store(), Service: service, Duty: "rollout", Node: n.id, Incarnation: api.Incarnation(n.id),
+		Rand: rand.New(rand.NewPCG(1, 1)), Log: quiet(),
+	})
+	faulty := faulty{s: s, ctx: ctx, stop: stop, crash: crash}
+	giver := order.New(order.Options{Client: &http.Client{Transport: s.engines}, Holder: held})
+	holder := rollout.NewHolder(rollout.HolderOptions{
+		Service: service, Store: rollout.NewStore(&faultyStore{faulty: faulty, Store: s.kv.Store()}), Lease: held,
+		Orders: &faultyOrders{faulty: faulty, Giver: giver}, Configs: s.config, Acceptor: &faultyAcceptor{faulty: faulty},
+		Results: n.Node, Servers: s.currentServers, CanCopy: true, Log: quiet(),
+	})
+	go func() { _ = held.Run(ctx) }()
+	go func() { _ = holder.Run(ctx) }()
+}
+
+func (s *system) currentServers() []fleet.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.servers)
+}
+
+// exchange carries the nodes' payloads from each to all, those of cut off nodes aside.
+func (s *system) exchange() {
+	rng := rand.New(rand.NewPCG(2, 2))
+	sent := map[[2]int]uint64{}
+	for sleep(s.ctx, 250*time.Millisecond) {
+		from, to := rng.IntN(nodeCount), rng.IntN(nodeCount)
+		if from == to || s.isCut(from) || s.isCut(to) {
+			continue
+		}
+		payload, upTo := s.nodes[from].Since(sent[[2]int{from, to}], peer.Member{}, 64<<10)
+		if len(payload) > 0 {
+			_, err := s.nodes[to].Merge(peer.Member{}, payload)
+			s.Check(err, qt.IsNil)
+		}
+		sent[[2]int{from, to}] = upTo
+	}
+}
+
+func (s *system) isCut(i int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut[i]
+}
+
+// traffic sends 20 requests a second over all nodes.
+func (s *system) traffic() {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for count := 0; sleep(s.ctx, 50*time.Millisecond); count++ {
+		request := api.RequestID(fmt.Sprint(count))
+		n := s.nodes[rng.IntN(nodeCount)]
+		draw := rng.Float64()
+		config := n.Overlay(s.config.Current())
+		state := config.StateOf(fleet.Scope{Service: service, Version: v2}, time.Now())
+		if state == fleet.StateCandidate && n.Take(service, v2, draw) {
+			s.answer(n, rng, request, true)
+			continue
+		}
+		n.Dispatched(request, suspect.Key{Service: service, Version: v1, Class: "review"})
+		n.Answered(request, v1, time.Second)
+		if state == fleet.StateCandidate {
+			if _, ok := n.TakeCopy(service, v1, draw); ok {
+				s.answer(n, rng, request+"-copy", false)
+			}
+		}
+	}
+}
+
+// answer runs a request on the candidate.
+func (s *system) answer(n *node, rng *rand.Rand, request api.RequestID, forCaller bool) {
+	s.mu.Lock()
+	failed := rng.Float64() < s.errors
+	if forCaller && s.errors > 0 {
+		s.exposed++
+	}
+	s.mu.Unlock()
+	n.Dispatched(request, key)
+	go func() {
+		if !sleep(s.ctx, time.Second) {
+			return
+		}
+		if failed {
+			n.Failed(request, v2)
+		} else {
+			n.Answered(request, v2, time.Second)
+		}
+	}()
+}
+
+func (s *system) exposure() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exposed
+}
+
+func (s *system) setErrors(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errors = share
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func plan() rollout.Plan {
+	return rollout.Plan{
+		ID: "r1", Service: service, Version: v2, Control: v1, Author: "ana", Reason: "cheaper", DrainControl: true,
+		Steps: []rollout.Step{
+			{Share: 0.2, Requests: 20, Dwell: 10 * time.Second, Window: 8},
+			{Share: 0.5, Requests: 40, Dwell: 10 * time.Second, Window: 16},
+		},
+	}
+}
+
+func (s *system) begin() {
+	r, err := rollout.Start(plan(), time.Now())
+	s.Assert(err, qt.IsNil)
+	_, err = s.store.Begin(s.ctx, r)
+	s.Assert(err, qt.IsNil)
+}
+
+func (s *system) find() rollout.RollOut {
+	record, err := s.store.Find(s.ctx, service)
+	s.Assert(err, qt.IsNil)
+	return record.RollOut
+}
+
+// await returns the roll-out once it is in a phase.
+func (s *system) await(phase rollout.Phase, limit time.Duration) rollout.RollOut {
+	var last rollout.RollOut
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); {
+		time.Sleep(time.Second)
+		record, err := s.store.Find(s.ctx, service)
+		if err != nil {
+			continue
+		}
+		last = record.RollOut
+		if last.Phase == phase {
+			return last
+		}
+	}
+	s.Fatalf("roll-out is %s, not %s: %s", last.Phase, phase, last.Reason)
+	return last
+}
+
+// loaded counts the engines that hold the candidate.
+func (s *system) loaded() int {
+	giver := order.New(order.Options{Client: &http.Client{Transport: s.engines}})
+	count := 0
+	for _, server := range s.servers {
+		if state, err := giver.State(s.ctx, server); err == nil && state.StatusOf(v2) == order.StatusLoaded {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/rollout/withdrawer.go
@@ -0,0 +1,85 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/internal/suspect"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// withdrawEvery is the time between two tries to have a stop accepted.
+	withdrawEvery = time.Second
+	// withdrawTimeout bounds one try.
+	withdrawTimeout = 5 * time.Second
+	// peerGrace is how long the node that found a stop is left to write it before others do.
+	peerGrace = 10 * time.Second
+)
+
+// WithdrawerOptions configures NewWithdrawer.
+type WithdrawerOptions struct {
+	Node api.NodeID
+	// Stops returns the versions stopped on this node and not yet withdrawn by the configuration.
+	Stops    func() []suspect.Stop
+	Configs  Configs
+	Acceptor Acceptor
+	Log      log.Interface
+}
+
+// Withdrawer is the duty that turns local stops into accepted changes, as soon as the key-value service takes them.
+// A stop has one change id on all nodes, so that it is accepted once, whoever writes it.
+type Withdrawer struct {
+	opts WithdrawerOptions
+	// firstSeen is when a stop was first seen here, by its id.
+	firstSeen map[string]time.Time
+}
+
+// NewWithdrawer returns a withdrawer.
+func NewWithdrawer(opts WithdrawerOptions) *Withdrawer {
+	return &Withdrawer{opts: opts, firstSeen: map[string]time.Time{}}
+}
+
+// Run writes stops until ctx ends.
+func (w *Withdrawer) Run(ctx context.Context) error {
+	return sleep.Every(ctx, withdrawEvery, func(now time.Time) { w.write(ctx, now) })
+}
+
+func (w *Withdrawer) write(ctx context.Context, now time.Time) {
+	seen := map[string]time.Time{}
+	for _, stop := range w.opts.Stops() {
+		first, ok := w.firstSeen[stop.ID]
+		if !ok {
+			first = now
+		}
+		seen[stop.ID] = first
+		if stop.Node != w.opts.Node && now.Sub(first) < peerGrace {
+			continue
+		}
+		if err := w.withdraw(ctx, stop); err != nil {
+			w.opts.Log.WithFields(log.Fields{"service": stop.Service, "version": stop.Version}).WithError(err).
+				Warn("withdrawal not accepted yet; the version stays stopped by the nodes")
+		}
+	}
+	w.firstSeen = seen
+}
+
+func (w *Withdrawer) withdraw(ctx context.Context, stop suspect.Stop) error {
+	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	value, err := json.Marshal(stop.Exception())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = w.opts.Acceptor.Accept(ctx, fleet.Change{
+		ID: fleet.ChangeID(stop.ID), Base: w.opts.Configs.State().Revision(),
+		Author: stop.Author, Reason: stop.Reason, Time: stop.At, Rebase: true,
+		Ops: []fleet.Op{{EntityID: fleet.EntityID{Kind: fleet.KindException, Name: stop.ID}, Value: value}},
+	})
+	return Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/router/chat.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/poison"
+	"github.com/monsoonrail/monsoonrail/internal/session"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// ChatCall is a chat completion of a team, already checked for its form.
+type ChatCall struct {
+	Team     api.Team
+	Service  api.Service
+	Class    api.Class
+	Request  api.ChatRequest
+	Session  api.SessionToken
+	Priority api.Priority
+	// Deadline is how long the caller waits; 0 leaves it to the policy.
+	Deadline time.Duration
+	// Key is empty if the caller named none.
+	Key         api.IdempotencyKey
+	Fingerprint answer.Fingerprint
+	// FirstTry is the caller's word that it never sent the key before.
+	FirstTry bool
+	// AcceptsRestart tells that the caller can begin a stream's text anew.
+	AcceptsRestart bool
+}
+
+// Chat returns the answer of a call, running it unless its key is known. The error is a *api.Problem or ErrElsewhere.
+func (r *Router) Chat(call ChatCall) (*answer.Answer, error) {
+	plan, err := r.planChat(call, time.Now())
+	if err != nil {
+		return nil, Unresolved(AsProblem(err, api.OutcomeNotRun), call.Key, call.FirstTry)
+	}
+	key := KeyRequest{
+		Team: call.Team, Key: call.Key, RequestID: r.newRequestID(), Fingerprint: call.Fingerprint, FirstTry: call.FirstTry,
+		Keep: plan.keep,
+	}
+	return r.begin(key, answer.KindChat, func(ans *answer.Answer, key KeyRequest) {
+		run := &chatRun{router: r, plan: plan, answer: ans, key: key}
+		r.start(startOptions{
+			answer: ans, key: key, kept: call.Key != "", deadline: plan.deadline, end: plan.end, run: run.run,
+		})
+	})
+}
+
+// chatPlan is a call with what the configuration says of it at its arrival.
+type chatPlan struct {
+	call     ChatCall
+	service  api.Service
+	class    api.Class
+	deadline time.Time
+	// end is not before deadline, and the end of a request whose stream has begun by then.
+	end time.Time
+	// keep is how long the finished answer is kept; 0 leaves it to the node.
+	keep time.Duration
+	// wanted restricts the choice to a model or version; zero for auto.
+	wanted api.VersionID
+	// claims are those of the session token; nil if there was none.
+	claims *session.Claims
+	// prefix is a hash of the prompt's beginning, prefixTokens its length.
+	prefix       uint64
+	prefixTokens api.Tokens
+	// suspect names the request's content for the guard.
+	suspect poison.Fingerprint
+}
+
+func (p *chatPlan) scope(domain api.FailureDomain) fleet.Scope {
+	return fleet.Scope{Team: p.call.Team, Service: p.service, Class: p.class, FailureDomain: domain}
+}
+
+func (r *Router) planChat(call ChatCall, now time.Time) (*chatPlan, error) {
+	cfg := r.opts.Configs.Current()
+	if cfg == nil {
+		return nil, problemNoConfig()
+	}
+	service, err := findEngineService(cfg, call)
+	if err != nil {
+		return nil, err
+	}
+	class, err := findClass(service, call.Class)
+	if err != nil {
+		return nil, err
+	}
+	plan := &chatPlan{call: call, service: service.Name, class: class}
+	policy := cfg.PolicyFor(plan.scope(r.opts.FailureDomain), now)
+	if !policy.IsServiceAllowed(service.Name) {
+		return nil, problemServiceNotAllowed(service.Name)
+	}
+	if plan.wanted, err = findWanted(service, policy, call.Request.Model); err != nil {
+		return nil, err
+	}
+	if plan.claims, err = r.verifySession(plan, now); err != nil {
+		return nil, err
+	}
+	plan.suspect = poison.FingerprintOf([]byte(plan.service), call.Fingerprint[:])
+	plan.prefix, plan.prefixTokens = prefixOf(call)
+	plan.deadline = now.Add(boundedDeadline(call.Deadline, policy.Deadline))
+	plan.end = plan.deadline
+	plan.keep = policy.KeepAnswers
+	if call.Request.Stream {
+		plan.end = now.Add(boundedStretch(call.Deadline, policy.Deadline))
+	}
+	return plan, nil
+}
+
+func findEngineService(cfg *fleet.Config, call ChatCall) (*fleet.Service, error) {
+	name := call.Service
+	if team, ok := cfg.FindTeam(call.Team); ok && name == "" {
+		name = team.Service
+	}
+	if name == "" {
+		name = firstEngineService(cfg)
+	}
+	service, ok := cfg.FindService(name)
+	if !ok || service.Kind != fleet.KindEngine {
+		return nil, notRun(api.ReasonUnknownService, http.StatusNotFound, fmt.Sprintf("no engine service %q", name))
+	}
+	return service, nil
+}
+
+func firstEngineService(cfg *fleet.Config) api.Service {
+	i := slices.IndexFunc(cfg.Services, func(s fleet.Service) bool { return s.Kind == fleet.KindEngine })
+	if i < 0 {
+		return ""
+	}
+	return cfg.Services[i].Name
+}
+
+func findClass(service *fleet.Service, class api.Class) (api.Class, error) {
+	if class == "" && len(service.Classes) > 0 {
+		return service.Classes[0], nil
+	}
+	if class == "" || slices.Contains(service.Classes, class) {
+		return class, nil
+	}
+	return "", notRun(api.ReasonBadRequest, http.StatusBadRequest,
+		fmt.Sprintf("class %q is none of %v", class, service.Classes))
+}
+
+// findWanted returns the model or version that the caller names; the answer for one that exists but isn't allowed
+// is the same as for one that doesn't exist, so that nothing is learnt of it.
+func findWanted(service *fleet.Service, policy fleet.Policy, model string) (api.VersionID, error) {
+	if model == api.ModelAuto {
+		return api.VersionID{}, nil
+	}
+	wanted := api.ParseVersionID(model)
+	for _, m := range service.Models {
+		for _, v := range m.Versions {
+			id := api.VersionID{Model: m.Name, Version: v.Name}
+			if m.Name == wanted.Model && (wanted.Version == "" || wanted.Version == v.Name) && policy.IsAllowed(id) {
+				return wanted, nil
+			}
+		}
+	}
+	return api.VersionID{}, notRun(api.ReasonNotAllowed, http.StatusForbidden,
+		fmt.Sprintf("model %q is unknown or not allowed", model))
+}
+
+func problemServiceNotAllowed(service api.Service) *api.Problem {
+	return notRun(api.ReasonNotAllowed, http.StatusForbidden, fmt.Sprintf("service %q is not allowed", service))
+}
+
+func (r *Router) verifySession(plan *chatPlan, now time.Time) (*session.Claims, error) {
+	if plan.call.Session == "" {
+		return nil, nil
+	}
+	claims, err := r.opts.Sessions.Verify(plan.call.Session,
+		session.VerifyOptions{Team: plan.call.Team, Service: plan.service, Now: now})
+	if err != nil {
+		return nil, notRun(api.ReasonBadSession, http.StatusBadRequest, "session token is not valid: "+sessionFault(err))
+	}
+	if plan.wanted != (api.VersionID{}) && !matchesWanted(plan.wanted, claims.Version) {
+		return nil, notRun(api.ReasonBadSession, http.StatusBadRequest,
+			fmt.Sprintf("session is on %s, the call names %s", claims.Version, plan.wanted))
+	}
+	return &claims, nil
+}
+
+// sessionFault names the fault without telling a forged token from another team's.
+func sessionFault(err error) string {
+	if session.IsErrTokenExpired(err) {
+		return "expired"
+	}
+	return "unknown"
+}
+
+func matchesWanted(wanted, v api.VersionID) bool {
+	return wanted.IsZero() || wanted == v || wanted.Version == "" && wanted.Model == v.Model
+}
--- /dev/null
+++ b/internal/router/choose.go
@@ -0,0 +1,342 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/session"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Candidate is a version that may run a request.
+type Candidate struct {
+	ID      api.VersionID
+	Version fleet.Version
+}
+
+// VersionRequest is what a version is chosen for.
+type VersionRequest struct {
+	Team       api.Team
+	Service    api.Service
+	Class      api.Class
+	Policy     fleet.Policy
+	Candidates []Candidate
+	Prompt     api.Tokens
+	// MaxAnswer bounds the answer; 0 if it is not bounded.
+	MaxAnswer api.Tokens
+	// Pin is the version that the session is on; zero if there is none.
+	Pin api.VersionID
+	// MayWait tells that the caller gets the answer whole, so that a first one may be replaced.
+	MayWait  bool
+	Deadline time.Time
+	Now      time.Time
+}
+
+// ServerRequest is what a server is chosen for.
+type ServerRequest struct {
+	Service api.Service
+	Version api.VersionID
+	// Prefix is a hash of the prompt's beginning, PrefixTokens its length; 0 if there is none.
+	Prefix       uint64
+	PrefixTokens api.Tokens
+	Prompt       api.Tokens
+	// MaxAnswer bounds the answer; 0 if it is not bounded.
+	MaxAnswer api.Tokens
+	Priority  api.Priority
+	Now       time.Time
+}
+
+// AdmissionRequest is what is let in.
+type AdmissionRequest struct {
+	ID      api.RequestID
+	Team    api.Team
+	Service api.Service
+	Class   api.Class
+	// Prompt is 0 for a plain call; MaxAnswer bounds the answer, 0 if it is not bounded.
+	Prompt    api.Tokens
+	MaxAnswer api.Tokens
+	Priority  api.Priority
+	Deadline  time.Time
+	Policy    fleet.Policy
+	Weight    float64
+}
+
+func (c *chatRun) admissionRequest() AdmissionRequest {
+	cfg := c.router.opts.Configs.Current()
+	weight := 1.0
+	if team, ok := cfg.FindTeam(c.plan.call.Team); ok {
+		weight = team.Weight
+	}
+	return AdmissionRequest{
+		ID:        c.answer.ID,
+		Team:      c.plan.call.Team,
+		Service:   c.plan.service,
+		Class:     c.plan.class,
+		Prompt:    promptTokens(c.plan.call.Request),
+		MaxAnswer: c.plan.call.Request.MaxTokens,
+		Priority:  c.plan.call.Priority,
+		Deadline:  c.plan.deadline,
+		Policy:    cfg.PolicyFor(c.plan.scope(c.router.opts.FailureDomain), time.Now()),
+		Weight:    weight,
+	}
+}
+
+// choose waits for a version and a server that may run the request.
+func (c *chatRun) choose(ctx context.Context) (target, *api.Problem) {
+	began := time.Now()
+	for {
+		to, problem := c.chooseNow(time.Now())
+		if problem == nil || problem.Reason != api.ReasonNoServer || time.Now().After(c.giveUpAt(began, to.guarded)) {
+			return to, problem
+		}
+		if !sleep.For(ctx, retryWait) {
+			return target{}, c.problemEnded(ctx)
+		}
+	}
+}
+
+// giveUpAt returns until when to wait for a server. A request whose caller has a part of the text already is not given up
+// before its end. One that ran on a server which died, and that the guard finds no place for, waits for the peers' news,
+// which come soon or not.
+func (c *chatRun) giveUpAt(began time.Time, guarded bool) time.Time {
+	switch {
+	case guarded && c.handed:
+		return began.Add(noPlaceWait)
+	case c.answer.Len() == 0:
+		return began.Add(noServerWait)
+	default:
+		return c.plan.end
+	}
+}
+
+func (c *chatRun) chooseNow(now time.Time) (target, *api.Problem) {
+	cfg := c.router.opts.Configs.Current()
+	to := target{revision: cfg.Revision}
+	pinned, problem := c.pinned(cfg, now, &to)
+	if problem != nil {
+		return target{}, problem
+	}
+	candidates := c.candidates(cfg, now, pinned)
+	if len(candidates) == 0 {
+		return target{}, c.problem(api.ReasonWithdrawn, http.StatusServiceUnavailable, "no allowed version takes new work")
+	}
+	allowed, problem := c.router.permitFor(c.plan.suspect, c.plan.service, c.handed, now)
+	to.guarded = allowed.guarded
+	if problem != nil {
+		return to, problem
+	}
+	candidates, servers := c.withServers(candidates, allowed, now)
+	if len(candidates) == 0 {
+		problem := c.problem(api.ReasonNoServer, http.StatusServiceUnavailable, "no server holds an allowed version")
+		problem.RetryAfter = retrySoon
+		return to, problem
+	}
+	if trial, ok := c.takeTrial(&candidates, pinned); ok {
+		to.choice = VersionChoice{First: trial, Reason: reasonTrial}
+		to.version = trial
+		to.server = c.chooseServer(trial, servers[trial], now)
+		return to, nil
+	}
+	policy := cfg.PolicyFor(c.plan.scope(c.router.opts.FailureDomain), now)
+	choice, ok := c.router.opts.Versions.ChooseVersion(VersionRequest{
+		Team: c.plan.call.Team, Service: c.plan.service, Class: c.plan.class, Policy: policy, Candidates: candidates,
+		Prompt: promptTokens(c.plan.call.Request), MaxAnswer: c.plan.call.Request.MaxTokens, Pin: pinned,
+		MayWait: !c.plan.call.Request.Stream && c.plan.claims == nil, Deadline: c.plan.deadline, Now: now,
+	})
+	if !ok {
+		return target{}, c.problem(api.ReasonNotAllowed, http.StatusForbidden, "no version may be taken")
+	}
+	to.choice = choice
+	to.version = choice.First
+	to.server = c.chooseServer(choice.First, servers[choice.First], now)
+	return to, nil
+}
+
+// pinned returns the version that the session or an earlier part of the answer holds the request to; zero for none.
+func (c *chatRun) pinned(cfg *fleet.Config, now time.Time, to *target) (api.VersionID, *api.Problem) {
+	if !c.escalated.IsZero() {
+		return c.escalated, nil
+	}
+	if !c.version.IsZero() && c.stateOf(cfg, c.version, now) != fleet.StateWithdrawn {
+		return c.version, nil
+	}
+	if c.plan.claims == nil {
+		return api.VersionID{}, nil
+	}
+	scope := c.plan.scope(c.router.opts.FailureDomain)
+	verdict := session.Decide(*c.plan.claims, session.DecideOptions{
+		States: cfg, Policy: cfg.PolicyFor(scope, now), Class: c.plan.class,
+		FailureDomain: c.router.opts.FailureDomain, Now: now,
+	})
+	switch verdict.Action {
+	case session.ActionKeep:
+		return verdict.Version, nil
+	case session.ActionRepin:
+		to.repinnedFrom = verdict.Version
+		return api.VersionID{}, nil
+	default:
+		return api.VersionID{}, c.problem(verdict.Reason, http.StatusConflict,
+			fmt.Sprintf("the session's version %s takes no new work", verdict.Version))
+	}
+}
+
+func (c *chatRun) stateOf(cfg *fleet.Config, v api.VersionID, now time.Time) fleet.VersionState {
+	scope := c.plan.scope(c.router.opts.FailureDomain)
+	scope.Version = v
+	return cfg.StateOf(scope, now)
+}
+
+// candidates returns the versions that may run the request; a pinned one may also be draining. Where there are none, they are those
+// that only this node holds back.
+func (c *chatRun) candidates(cfg *fleet.Config, now time.Time, pinned api.VersionID) []Candidate {
+	service, ok := cfg.FindService(c.plan.service)
+	if !ok {
+		return nil
+	}
+	var found, held []Candidate
+	for _, model := range service.Models {
+		for _, version := range model.Versions {
+			id := api.VersionID{Model: model.Name, Version: version.Name}
+			switch {
+			case c.mayRun(cfg, id, now, pinned):
+				found = append(found, Candidate{ID: id, Version: version})
+			case c.isHeldBack(cfg, id, now, pinned):
+				version.State = fleet.StateServing
+				held = append(held, Candidate{ID: id, Version: version})
+			}
+		}
+	}
+	if len(found) == 0 {
+		return held
+	}
+	return found
+}
+
+// mayRun holds every rule about which versions a request may run on.
+func (c *chatRun) mayRun(cfg *fleet.Config, id api.VersionID, now time.Time, pinned api.VersionID) bool {
+	if !c.isAllowed(cfg, id, now) {
+		return false
+	}
+	state := c.stateOf(cfg, id, now)
+	if !pinned.IsZero() {
+		return id == pinned && state != fleet.StateWithdrawn
+	}
+	return state == fleet.StateServing || state == fleet.StateCandidate
+}
+
+// isHeldBack reports whether a request may run on a version but for this node's own suspicion, which is no reason to refuse it.
+func (c *chatRun) isHeldBack(cfg *fleet.Config, id api.VersionID, now time.Time, pinned api.VersionID) bool {
+	if !pinned.IsZero() || c.stateOf(cfg, id, now) != fleet.StateDraining || !c.router.opts.Trials.IsHeld(c.plan.service, id) {
+		return false
+	}
+	return c.isAllowed(cfg, id, now)
+}
+
+// isAllowed reports whether the request asks for a version, or for any, and its team is allowed it.
+func (c *chatRun) isAllowed(cfg *fleet.Config, id api.VersionID, now time.Time) bool {
+	if !matchesWanted(c.plan.wanted, id) {
+		return false
+	}
+	scope := c.plan.scope(c.router.opts.FailureDomain)
+	scope.Version = id
+	return cfg.PolicyFor(scope, now).IsAllowed(id)
+}
+
+// withServers keeps the candidates that some server can run now.
+func (c *chatRun) withServers(candidates []Candidate, allowed permit, now time.Time) ([]Candidate, map[api.VersionID][]*registry.Server) {
+	servers := make(map[api.VersionID][]*registry.Server, len(candidates))
+	all := c.router.opts.Registry.OfService(c.plan.service)
+	if allowed.guarded {
+		all = []*registry.Server{allowed.server}
+	}
+	kept := candidates[:0:0]
+	for _, candidate := range candidates {
+		able := usable(all, candidate.ID, c.tried, now)
+		if len(able) == 0 {
+			continue
+		}
+		servers[candidate.ID] = able
+		kept = append(kept, candidate)
+	}
+	return kept, servers
+}
+
+// usable returns the servers that hold a version, preferring those that have not failed and owe no answer for long; an avoided
+// server is better than none.
+func usable(all []*registry.Server, v api.VersionID, tried []api.ServerID, now time.Time) []*registry.Server {
+	var fresh, avoided []*registry.Server
+	for _, server := range all {
+		if server.IsLeaving() || !v.IsZero() && !server.HasVersion(v) {
+			continue
+		}
+		if slices.Contains(tried, server.ID) || server.IsAvoided(now) || server.IsUnresponsive(now) {
+			avoided = append(avoided, server)
+			continue
+		}
+		fresh = append(fresh, server)
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return avoided
+}
+
+// reasonTrial tells that a request is part of a roll-out.
+const reasonTrial = "Trial"
+
+// takeTrial gives the request to a candidate if the node's part of a roll-out wants it, and else takes the candidates
+// out of the choice: what they receive is the roll-out's decision alone.
+func (c *chatRun) takeTrial(candidates *[]Candidate, pinned api.VersionID) (api.VersionID, bool) {
+	if !pinned.IsZero() {
+		return api.VersionID{}, false
+	}
+	kept := (*candidates)[:0:0]
+	for _, candidate := range *candidates {
+		if !c.router.opts.Trials.IsOnTrial(c.plan.service, candidate.ID) {
+			kept = append(kept, candidate)
+			continue
+		}
+		if c.router.opts.Trials.Take(c.plan.service, candidate.ID, c.router.opts.Draw()) {
+			return candidate.ID, true
+		}
+	}
+	*candidates = kept
+	return api.VersionID{}, false
+}
+
+func (c *chatRun) chooseServer(v api.VersionID, able []*registry.Server, now time.Time) *registry.Server {
+	i := c.router.opts.Servers.ChooseServer(ServerRequest{
+		Service: c.plan.service, Version: v, Prefix: c.plan.prefix, PrefixTokens: c.plan.prefixTokens,
+		Prompt: promptTokens(c.plan.call.Request), MaxAnswer: c.plan.call.Request.MaxTokens,
+		Priority: c.priority, Now: now,
+	}, able)
+	return able[i]
+}
+
+// errStaleChoice means that a choice no longer holds on the newest configuration, so that another must be made.
+type errStaleChoice struct{ detail string }
+
+func (e *errStaleChoice) Error() string { return e.detail }
+
+// lastCheck is made on the newest configuration right before a generation is handed to a server.
+func (c *chatRun) lastCheck(to target) error {
+	now := time.Now()
+	cfg := c.router.opts.Configs.Current()
+	pinned := api.VersionID{}
+	if c.plan.claims != nil && to.repinnedFrom.IsZero() || !c.version.IsZero() || !c.escalated.IsZero() {
+		pinned = to.version
+	}
+	if !c.mayRun(cfg, to.version, now, pinned) && !c.isHeldBack(cfg, to.version, now, pinned) {
+		return &errStaleChoice{detail: fmt.Sprintf("%s takes no new work", to.version)}
+	}
+	if to.server.IsLeaving() {
+		return &errStaleChoice{detail: fmt.Sprintf("server %s is leaving", to.server.ID)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/draft.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"context"
+
+	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// errEscalated means that a first answer was rated too low and that a second version runs the request.
+var errEscalated error = &escalation{}
+
+type escalation struct{}
+
+func (*escalation) Error() string { return "first answer was rated too low" }
+
+// draft is a whole answer that the caller has not got yet.
+type draft struct {
+	to     target
+	tail   answer.Tail
+	chunks []string
+}
+
+// weighDraft has a first answer rated, and keeps it unless it is rated too low; one without a rating in time is kept.
+func (c *chatRun) weighDraft(ctx context.Context, gen *generation, tail answer.Tail) error {
+	c.draft = &draft{to: gen.to, tail: tail}
+	for i := range gen.next {
+		chunk, _ := gen.out.Chunk(i)
+		c.draft.chunks = append(c.draft.chunks, string(chunk))
+	}
+	quality, ok := c.router.opts.Ratings.Rate(ctx, c.rated(gen.to, gen.out))
+	if !ok || quality >= gen.to.choice.EscalateBelow {
+		return c.keepDraft(ctx)
+	}
+	c.router.opts.Metrics.Counter("escalations").Inc(1)
+	c.arm = gen.to.choice
+	c.escalated = c.arm.Then
+	c.spent = c.cost(gen.to.version, tail.Usage)
+	return errEscalated
+}
+
+// keepDraft makes the first answer the request's answer.
+func (c *chatRun) keepDraft(ctx context.Context) error {
+	kept := c.draft
+	c.spent = 0
+	c.escalated = api.VersionID{}
+	c.answer.Restart()
+	c.answer.SetHead(c.head(kept.to))
+	for _, chunk := range kept.chunks {
+		if err := c.answer.Append([]byte(chunk)); err != nil {
+			return err
+		}
+	}
+	return c.finish(ctx, kept.to, kept.tail)
+}
+
+// failOrKeepDraft ends a request that can't go on; a first answer, even one rated low, is better than none.
+func (c *chatRun) failOrKeepDraft(ctx context.Context, problem *api.Problem) {
+	if c.draft != nil && c.keepDraft(context.WithoutCancel(ctx)) == nil {
+		return
+	}
+	c.fail(problem)
+}
+
+// rated describes an answer for the rating service; the one that follows a replaced one counts for the whole cascade.
+func (c *chatRun) rated(to target, ans *answer.Answer) RatedAnswer {
+	choice := to.choice
+	if !c.escalated.IsZero() {
+		choice = c.arm
+	}
+	return RatedAnswer{
+		RequestID: c.answer.ID,
+		Service:   c.plan.service,
+		Class:     c.plan.class,
+		Choice:    choice,
+		Version:   to.version,
+		Prompt:    c.plan.call.Request.Messages,
+		Answer:    ans.Text(),
+	}
+}
--- /dev/null
+++ b/internal/router/plain_late_test.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonrail/monsoonrail/internal/guard"
+	"github.com/monsoonrail/monsoonrail/internal/poison"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// TestMovedCallCrashesNoThird lets a call crash the server that was late and the one to which it was moved: a node that is cut off
+// and sees both deaths, in either order, finds no place for the call.
+func TestMovedCallCrashesNoThird(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		pool := make([]poison.Member, rapid.IntRange(2, 18).Draw(t, "servers"))
+		for i := range pool {
+			pool[i].Server = api.ServerID(fmt.Sprint("server-", i))
+		}
+		f := poison.Fingerprint(rapid.Uint64().Draw(t, "fingerprint"))
+		server := pool[rapid.IntRange(0, len(pool)-1).Draw(t, "server")].Server
+		other, ok := partnerIn(pool, server, guard.New(now, nil), f, now)
+		if !ok {
+			return
+		}
+		if other == server {
+			t.Fatal("a call is moved to where it is")
+		}
+		died := rapid.Permutation([]api.ServerID{server, other}).Draw(t, "deaths")
+		cutOff := guard.New(now, nil)
+		cutOff.Died(died[0], now.Add(time.Second))
+		cutOff.Died(died[1], now.Add(2*time.Second))
+		if placed, ok := cutOff.Place(f, pool, now.Add(3*time.Second)); ok {
+			t.Fatalf("after the deaths of %v the call runs on %s", died, placed)
+		}
+	})
+}
--- /dev/null
+++ b/internal/router/probe_count_test.go
@@ -0,0 +1,29 @@
+package router
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/silence"
+)
+
+// TestOwnPausesBlameNoServer counts the probes that failed while the node stood still apart, but not without end.
+func TestOwnPausesBlameNoServer(t *testing.T) {
+	const late = 2 * silence.ProbeTimeout
+	var probes probeCount
+	for range maxUntold {
+		probes.add(late, silence.ProbeTimeout)
+	}
+	probes.add(0, silence.ProbeTimeout)
+	qt.Check(t, probes.isDead(), qt.IsFalse)
+	probes.add(silence.ProbeTimeout, silence.ProbeTimeout)
+	qt.Check(t, probes.isDead(), qt.IsTrue)
+
+	probes = probeCount{}
+	for range maxUntold + maxProbes {
+		qt.Check(t, probes.isDead(), qt.IsFalse)
+		probes.add(late, silence.ProbeTimeout)
+	}
+	qt.Check(t, probes.isDead(), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/router/problem.go
@@ -0,0 +1,82 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// retrySoon is when a caller should try again after a passing shortage.
+	retrySoon = time.Second
+	// retryLater is when a caller should try again after a longer one.
+	retryLater = 5 * time.Second
+)
+
+// ErrElsewhere means that another node holds the request; the caller layer forwards it there.
+type ErrElsewhere struct {
+	Node        api.NodeID
+	Incarnation api.Incarnation
+	// RequestID is set where the request is known to have begun there.
+	RequestID api.RequestID
+}
+
+// Error implements error.
+func (e *ErrElsewhere) Error() string {
+	return fmt.Sprintf("request belongs to node %s incarnation %s", e.Node, e.Incarnation)
+}
+
+// AsErrElsewhere returns the ErrElsewhere that err holds.
+func AsErrElsewhere(err error) (*ErrElsewhere, bool) {
+	var target *ErrElsewhere
+	return target, errors.As(err, &target)
+}
+
+// AsProblem returns the problem that err holds, or one that says that the router failed.
+func AsProblem(err error, outcome api.Outcome) *api.Problem {
+	var problem *api.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	return api.NewProblem(api.ReasonInternal, http.StatusInternalServerError, outcome, err.Error())
+}
+
+func notRun(reason api.Reason, status int, detail string) *api.Problem {
+	return api.NewProblem(reason, status, api.OutcomeNotRun, detail)
+}
+
+func notRunRetry(reason api.Reason, detail string, after time.Duration) *api.Problem {
+	problem := notRun(reason, http.StatusServiceUnavailable, detail)
+	problem.RetryAfter = after
+	return problem
+}
+
+func problemDraining() *api.Problem {
+	return notRunRetry(api.ReasonDraining, "this node is stopping; ask for addresses again", retrySoon)
+}
+
+func problemNoConfig() *api.Problem {
+	return notRunRetry(api.ReasonConfigurationStale, "this node holds no configuration yet", retryLater)
+}
+
+// comeBack tells the caller of a request that may be repeated when to do so, where the cause is a passing one.
+func comeBack(problem *api.Problem) *api.Problem {
+	switch problem.Reason {
+	case api.ReasonServerFailed, api.ReasonDeadline, api.ReasonDraining:
+		problem.RetryAfter = retrySoon
+	case api.ReasonPoison:
+		problem.RetryAfter = retryLater
+	}
+	return problem
+}
+
+// outcomeOf returns what is known of a request that may have been handed to a server.
+func outcomeOf(handed bool) api.Outcome {
+	if handed {
+		return api.OutcomeMayHaveRun
+	}
+	return api.OutcomeNotRun
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,232 @@
+// Package router decides for each request on which version and server it runs, and carries it out.
+package router
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+
+	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/internal/engine"
+	"github.com/monsoonrail/monsoonrail/internal/limit"
+	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/plain"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/session"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Options holds what a router is made of.
+type Options struct {
+	Node          api.NodeID
+	Incarnation   api.Incarnation
+	FailureDomain api.FailureDomain
+
+	Log      log.Interface
+	Metrics  *metric.Set
+	Configs  Configs
+	Registry *registry.Registry
+	Answers  *answer.Store
+	Engines  *engine.Client
+	Plain    *plain.Client
+	Sessions *session.Keys
+	Versions VersionChooser
+	Ratings  Rater
+	Trials   Trials
+	Copies   Copies
+	// Draw returns a random number from 0 to 1; many goroutines call it.
+	Draw      func() float64
+	Servers   ServerChooser
+	Admission Admission
+	Bills     Biller
+	Keys      KeyResolver
+	Guard     Guard
+	Pools     Pools
+}
+
+// Router runs requests; each runs on a goroutine of its own, which outlives its caller's connection.
+type Router struct {
+	opts Options
+	// lastID numbers the requests of this incarnation.
+	lastID atomic.Uint64
+	// root ends when the router is closed and ends every request with it.
+	root   context.Context
+	cancel context.CancelFunc
+	runs   sync.WaitGroup
+	// patience is how long first tokens are waited for before a new connection is tried.
+	patience patience
+	// plainTimes are how long calls of plain services take.
+	plainTimes plainTimes
+	// resolving shares the decision about a key between its callers.
+	resolving singleflight.Group
+
+	mu sync.Mutex
+	// running holds the requests that run, by id.
+	running map[api.RequestID]*runHandle
+	// closed refuses new requests.
+	closed bool
+
+	retryMu sync.Mutex
+	retries limit.RetryBudget
+	// reserved are retries that need no first tries before them.
+	reserved *rate.Limiter
+}
+
+// runHandle lets the sweeper end a request that nobody waits for.
+type runHandle struct {
+	answer *answer.Answer
+	cancel context.CancelFunc
+	// kept tells that the request runs to its end even if nobody waits for it.
+	kept bool
+}
+
+// New returns a router; Close must be called.
+func New(opts Options) *Router {
+	root, cancel := context.WithCancel(context.Background())
+	return &Router{opts: opts, root: root, cancel: cancel, running: make(map[api.RequestID]*runHandle), reserved: rate.NewLimiter(rate.Every(reserveRefill), reservedRetries)}
+}
+
+// Drain waits until no request runs or ctx ends; it reports whether none runs.
+func (r *Router) Drain(ctx context.Context) bool {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for r.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// Running counts the requests that run.
+func (r *Router) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running)
+}
+
+// Close ends every request that still runs and waits for it.
+func (r *Router) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.cancel()
+	r.runs.Wait()
+}
+
+// newRequestID returns an id that names this node and its incarnation, so that any node can find the answer.
+func (r *Router) newRequestID() api.RequestID {
+	n := strconv.FormatUint(r.lastID.Add(1), idBase)
+	return api.RequestID(fmt.Sprintf("%s.%s.%s", r.opts.Node, r.opts.Incarnation, n))
+}
+
+// startOptions describes a request about to run.
+type startOptions struct {
+	answer   *answer.Answer
+	key      KeyRequest
+	kept     bool
+	deadline time.Time
+	// end is that of a run whose text has begun by its deadline; zero means the deadline.
+	end time.Time
+	run func(ctx context.Context)
+}
+
+// start runs a request on a goroutine of its own.
+func (r *Router) start(opts startOptions) {
+	ctx, cancel := r.runContext(opts)
+	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		cancel()
+		r.refuse(opts.answer, opts.key, problemDraining())
+		return
+	}
+	r.running[opts.answer.ID] = &runHandle{answer: opts.answer, cancel: cancel, kept: opts.kept}
+	r.runs.Add(1)
+	r.mu.Unlock()
+	go func() {
+		defer r.runs.Done()
+		defer cancel()
+		defer r.forget(opts.answer.ID)
+		opts.run(ctx)
+	}()
+}
+
+func (r *Router) forget(id api.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, id)
+}
+
+// Sweep is a duty: it ends requests that nobody waits for and drops answers that are no longer kept.
+func (r *Router) Sweep(ctx context.Context) error {
+	return sleep.Every(ctx, sweepInterval, func(now time.Time) {
+		r.cancelAbandoned(now)
+		r.opts.Answers.Expire(now)
+		r.gauge()
+	})
+}
+
+func (r *Router) cancelAbandoned(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, handle := range r.running {
+		since, idle := handle.answer.IdleSince()
+		if idle && !handle.kept && now.Sub(since) >= abandonAfter {
+			handle.cancel()
+		}
+	}
+}
+
+func (r *Router) gauge() {
+	stats := r.opts.Answers.Stats()
+	r.opts.Metrics.Gauge("answers").Update(int64(stats.Answers))
+	r.opts.Metrics.Gauge("answers_running").Update(int64(stats.Running))
+	r.opts.Metrics.Gauge("answers_bytes").Update(int64(stats.Bytes))
+}
+
+// refuse ends an answer short. One that was not run, or that may be run again, is forgotten, so that its key may be
+// tried again.
+func (r *Router) refuse(ans *answer.Answer, key KeyRequest, problem *api.Problem) {
+	problem.RequestID = ans.ID
+	wasHanded := problem.Outcome != api.OutcomeNotRun
+	problem = key.truthful(problem)
+	r.opts.Metrics.Counter("refusals", reasonLabel(problem)).Inc(1)
+	ans.Fail(problem)
+	if !wasHanded {
+		r.release(key)
+	}
+	if !wasHanded || !key.Once {
+		r.opts.Answers.Forget(ans)
+	}
+}
+
+func (r *Router) firstTry() {
+	r.retryMu.Lock()
+	defer r.retryMu.Unlock()
+	r.retries.FirstTry()
+}
+
+// takeRetry pays for sending a request to another server after one may have worked on it.
+func (r *Router) takeRetry() bool {
+	r.retryMu.Lock()
+	defer r.retryMu.Unlock()
+	if r.retries.Take() {
+		return true
+	}
+	if r.reserved.Allow() {
+		return true
+	}
+	r.opts.Metrics.Counter("retries_refused").Inc(1)
+	return false
+}
--- /dev/null
+++ b/internal/serverchoice/choice.go
@@ -0,0 +1,142 @@
+// Package serverchoice keeps what a node learns about backend servers and picks one for each request.
+package serverchoice
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/balance"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// expectedAnswer is the length assumed of an answer that is not bounded.
+const expectedAnswer = 200
+
+// Choice implements router.ServerChooser with one table for each service.
+type Choice struct {
+	mu     sync.Mutex
+	tables map[api.Service]*balance.Table
+	rand   *rand.Rand
+	// deciders counts the nodes that choose among the same servers.
+	deciders int
+}
+
+// New returns a choice without servers.
+func New(random *rand.Rand) *Choice {
+	return &Choice{tables: make(map[api.Service]*balance.Table), rand: random}
+}
+
+// SetDeciders sets the number of nodes that choose among the same servers.
+func (c *Choice) SetDeciders(nodes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deciders = nodes
+}
+
+// Deciders returns the number of nodes that choose among the same servers, at least 1.
+func (c *Choice) Deciders() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.deciders, 1)
+}
+
+// Occupancy sums the slots of a service's servers, this node's requests on them and an estimate of the others'.
+func (c *Choice) Occupancy(service api.Service, now time.Time) (slots, own, others float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return balance.Occupancy(c.table(service).Servers(), now)
+}
+
+// SetServers replaces the servers of this node's subset.
+func (c *Choice) SetServers(servers []fleet.Server) {
+	members := make(map[api.Service][]balance.Member)
+	for _, server := range servers {
+		members[server.Service] = append(members[server.Service], balance.Member{ID: server.ID, Excluded: server.Leaving})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service := range c.tables {
+		if len(members[service]) == 0 {
+			delete(c.tables, service)
+		}
+	}
+	for service, list := range members {
+		c.table(service).SetMembers(list[:min(len(list), balance.MaxSubset)])
+	}
+}
+
+func (c *Choice) table(service api.Service) *balance.Table {
+	table, ok := c.tables[service]
+	if !ok {
+		table = balance.NewTable()
+		c.tables[service] = table
+	}
+	return table
+}
+
+// Report takes in a server's own report.
+func (c *Choice) Report(server *registry.Server, report registry.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table(server.Service).Report(server.ID, balance.Load{
+		Running: report.Running, Queued: report.Queued, Slots: report.Slots,
+		AnswerRate: report.TokensPerSecond, MeasuredAt: report.MeasuredAt,
+	})
+}
+
+// Speed implements router.ServerChooser.
+func (c *Choice) Speed(service api.Service, version api.VersionID) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table(service).Speed(version)
+}
+
+// ChooseServer implements router.ServerChooser.
+func (c *Choice) ChooseServer(req router.ServerRequest, candidates []*registry.Server) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	table := c.table(req.Service)
+	only := balance.Mask(0)
+	for _, server := range candidates {
+		if i, ok := table.Find(server.ID); ok {
+			only = only.With(i)
+		}
+	}
+	if only == 0 {
+		return c.rand.IntN(len(candidates))
+	}
+	chosen, ok := balance.Choose(&balance.Input{
+		Servers: table.Servers(), Only: only, Holders: table.Holders(req.Prefix), Prefix: req.Prefix,
+		PrefixTokens: req.PrefixTokens, PromptTokens: req.Prompt, AnswerTokens: expectedTokens(req.MaxAnswer),
+		Speed: table.Speed(req.Version), Choices: balance.DefaultChoices, Deciders: c.deciders,
+		Stickiness: balance.DefaultStickiness, Now: req.Now, Rand: c.rand,
+	})
+	if !ok {
+		return c.rand.IntN(len(candidates))
+	}
+	id := table.Servers()[chosen].ID
+	for i, server := range candidates {
+		if server.ID == id {
+			return i
+		}
+	}
+	return c.rand.IntN(len(candidates))
+}
+
+func expectedTokens(bound api.Tokens) api.Tokens {
+	if bound > 0 && bound < expectedAnswer {
+		return bound
+	}
+	return expectedAnswer
+}
+
+// CacheEvent notes that a server has stored or evicted a prefix.
+func (c *Choice) CacheEvent(server *registry.Server, prefix uint64, stored bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table(server.Service).CacheEvent(server.ID, prefix, stored)
+}
--- /dev/null
+++ b/internal/serverchoice/run.go
@@ -0,0 +1,72 @@
+package serverchoice
+
+import (
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/balance"
+	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/router"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// run implements router.ServerRun. One goroutine calls it.
+type run struct {
+	choice *Choice
+	server *registry.Server
+	id     balance.RunID
+	// next is the number of chunks from which the table is told again.
+	next int
+}
+
+// Dispatched implements router.ServerChooser.
+func (c *Choice) Dispatched(server *registry.Server, d router.Dispatch) router.ServerRun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	table := c.table(server.Service)
+	prompt := d.Prompt
+	if i, ok := table.Find(server.ID); ok && table.Holders(d.Prefix).Has(i) {
+		prompt -= d.PrefixTokens
+	}
+	id := table.Dispatched(server.ID, balance.Dispatch{Prefix: d.Prefix, PromptTokens: prompt, Version: d.Version, At: d.At})
+	return &run{choice: c, server: server, id: id, next: 1}
+}
+
+// LateAfter implements router.ServerRun.
+func (r *run) LateAfter() time.Duration {
+	r.choice.mu.Lock()
+	defer r.choice.mu.Unlock()
+	return r.choice.table(r.server.Service).LateAfter(r.server.ID, r.id)
+}
+
+// Progressed implements router.ServerRun. The table wants to know only of each doubling, so that most chunks take no lock.
+func (r *run) Progressed(chunks int, now time.Time) {
+	if chunks < r.next {
+		return
+	}
+	r.next = 2 * chunks
+	r.choice.mu.Lock()
+	defer r.choice.mu.Unlock()
+	r.choice.table(r.server.Service).Progressed(r.server.ID, r.id, api.Tokens(chunks), now)
+}
+
+// Resumed implements router.ServerRun.
+func (r *run) Resumed(now time.Time) {
+	r.choice.mu.Lock()
+	defer r.choice.mu.Unlock()
+	r.choice.table(r.server.Service).Resumed(r.server.ID, r.id, now)
+}
+
+// Finished implements router.ServerRun.
+func (r *run) Finished(done *router.Completed, now time.Time) {
+	r.choice.mu.Lock()
+	defer r.choice.mu.Unlock()
+	table := r.choice.table(r.server.Service)
+	if done == nil {
+		table.Finished(r.server.ID, r.id, nil, now)
+		return
+	}
+	table.Finished(r.server.ID, r.id, &balance.Completed{
+		PromptTokens: done.PromptTokens, AnswerTokens: done.AnswerTokens, Version: done.Version,
+		FirstToken: done.FirstToken, Total: done.Total,
+	}, now)
+}
--- /dev/null
+++ b/internal/tcp/ends_test.go
@@ -0,0 +1,52 @@
+package tcp_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+)
+
+// TestEndOfAnIdleConnectionIsSeen ends a kept connection from either side: only the server's end is told.
+func TestEndOfAnIdleConnectionIsSeen(t *testing.T) {
+	const address = far + ":80"
+	for _, test := range []struct {
+		name string
+		end  func(network *memnet.Network, transport *http.Transport)
+		want []string
+	}{
+		{"the server dies", func(network *memnet.Network, _ *http.Transport) { network.Kill(far) }, []string{address}},
+		{"the node closes", func(_ *memnet.Network, transport *http.Transport) { transport.CloseIdleConnections() }, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.New()
+				listener, err := network.Host(far).Listen(context.Background(), address)
+				qt.Assert(t, err, qt.IsNil)
+				web := &http.Server{Handler: http.NotFoundHandler()}
+				go func() { _ = web.Serve(listener) }()
+				defer func() { _ = web.Close() }()
+				var ended []string
+				transport := tcp.NewTransport(tcp.WatchEnds(network.Host(near), func(address string) { ended = append(ended, address) }))
+				defer transport.CloseIdleConnections()
+				resp, err := (&http.Client{Transport: transport}).Get("http://" + address)
+				qt.Assert(t, err, qt.IsNil)
+				_, err = io.Copy(io.Discard, resp.Body)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, resp.Body.Close(), qt.IsNil)
+				time.Sleep(time.Second)
+				qt.Assert(t, ended, qt.HasLen, 0)
+				test.end(network, transport)
+				synctest.Wait()
+				qt.Assert(t, ended, qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
