--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(GO) build -o bin/monsoonrail ./cmd/monsoonrail
 
 test:
-	$(GO) test $(PACKAGES)
+	$(GO) test -count=1 $(PACKAGES)
 
 race:
 	GO=$(GO) scripts/race
