Select on no timer that may be due: alarms in the place of tickers and reused timers

The bills' ticker, the pacer's loop and the readers' heartbeat still selected on timers that can be due on entry; nodes of one bubble do so at the same virtual instant.

--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -38,7 +39,7 @@
 	// whole tells that only the end is waited for; answer.mu guards it.
 	whole bool
 	// timer bounds the waits of NextWithin; nil before the first.
-	timer *time.Timer
+	timer *sleep.Alarm
 	// usual is the room for the chunks of most parts.
 	usual [usualChunks][]byte
 }
@@ -89,7 +90,7 @@
 		return part, true, nil
 	}
 	if r.timer == nil {
-		r.timer = time.NewTimer(d)
+		r.timer = sleep.NewAlarm(d)
 	} else {
 		r.timer.Reset(d)
 	}
@@ -112,7 +113,7 @@
 	}
 }
 
-func (r *Reader) wait(ctx context.Context, timeout <-chan time.Time) (part Part, ok bool, err error) {
+func (r *Reader) wait(ctx context.Context, timeout <-chan struct{}) (part Part, ok bool, err error) {
 	for {
 		if part, ok := r.poll(); ok {
 			return part, true, nil
--- a/internal/billing/hold.go
+++ b/internal/billing/hold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/billing/billingpb"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -39,7 +40,7 @@
 // RunHold batches lines, has a peer hold them and lets their answers end, until ctx ends. One message is on its way
 // at a time, and the lines that come meanwhile make up the next batch.
 func (b *Biller) RunHold(ctx context.Context) error {
-	check := time.NewTicker(peerCheckInterval)
+	check := sleep.NewAlarm(peerCheckInterval)
 	defer check.Stop()
 	for {
 		select {
@@ -47,6 +48,7 @@
 			return ctx.Err()
 		case <-check.C:
 			b.checkPeer(ctx)
+			check.Reset(peerCheckInterval)
 		case w := <-b.queue:
 			b.batch(ctx, w)
 			if b.hasPeer() && b.pace.pause(ctx) != nil {
--- a/internal/billing/pacer.go
+++ b/internal/billing/pacer.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
 )
 
 const (
@@ -60,7 +62,7 @@
 	if delay <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(delay)
+	timer := sleep.NewAlarm(delay)
 	defer timer.Stop()
 	urgent := p.urgent
 	for {
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
 	"github.com/monsoonrail/monsoonrail/internal/lease"
 	"github.com/monsoonrail/monsoonrail/internal/order"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -68,14 +69,10 @@
 // Run keeps holders until ctx ends, then gives their leases up and returns.
 func (m *Manager) Run(ctx context.Context) error {
 	defer m.holders.Wait()
-	ticker := time.NewTicker(servicesEvery)
-	defer ticker.Stop()
 	for {
 		m.adjust(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		if err := sleep.Wait(ctx, servicesEvery); err != nil {
+			return err
 		}
 	}
 }
