Log a line a decision without blocking, and meet the platform in one folder

Logs: node logs went to standard error, written by the goroutine that logs, and held failures only. internal/eventlog queues lines, bounds their rate (failures apart from routine), counts what it leaves out and never blocks. Router, caller API, VM list, configuration, leases, servers and peers log each decision with its inputs and their age; lost and regained dependencies leave one line each. Metrics get an address of their own.

Platform: the adapters of the key-value service, VM list, rating service and weight store move to platform/, which implements the interfaces that their users declare. Only the program's start and the stand-ins import it.

--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/answer"
 	"github.com/monsoonrail/monsoonrail/internal/router"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -36,6 +38,9 @@
 		s.forwardAnswer(w, req, id)
 		return
 	}
+	s.log().WithFields(log.Fields{
+		"request": string(id), "offset": offset, "chunks": ans.Len(), "whole": ans.IsDone(),
+	}).Info(msgAttached)
 	if !req.URL.Query().Has("restarts") {
 		restarts = ans.Restarts()
 	}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -59,6 +59,7 @@
 	defer reader.Close()
 	part, text, err := reader.Whole(req.Context())
 	if err != nil {
+		s.explainLeft(ans, reader.Offset())
 		return
 	}
 	if problem := partProblem(ans, part); problem != nil {
@@ -85,6 +86,7 @@
 	offset, restarts := reader.Offset(), reader.Restarts()
 	part, err := reader.Next(req.Context())
 	if err != nil {
+		s.explainLeft(ans, offset)
 		return
 	}
 	if problem := partProblem(ans, part); problem != nil && len(part.Chunks) == 0 {
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/router"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -36,6 +38,10 @@
 		s.refuse(w, problem)
 		return
 	}
+	s.log().WithFields(log.Fields{
+		"request": string(elsewhere.RequestID), "node_of_request": string(elsewhere.Node),
+		"incarnation_of_request": string(elsewhere.Incarnation), "path": req.URL.Path,
+	}).Info(msgForwarded)
 	s.forward(w, req, url, body)
 }
 
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -72,6 +72,7 @@
 	defer reader.Close()
 	part, body, err := reader.Whole(req.Context())
 	if err != nil {
+		s.explainLeft(ans, offset)
 		return
 	}
 	if problem := partProblem(ans, part); problem != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -58,14 +58,15 @@
 type Options struct {
 	Node        api.NodeID
 	Incarnation api.Incarnation
-	Log         log.Interface
-	Metrics     *metric.Set
-	Configs     Configs
-	Router      Router
-	Answers     *answer.Store
-	Addresses   Addresses
-	Members     Members
-	Issuer      Issuer
+	// Log gets a line for each refusal and each caller that comes back or leaves; nil logs nothing.
+	Log       log.Interface
+	Metrics   *metric.Set
+	Configs   Configs
+	Router    Router
+	Answers   *answer.Store
+	Addresses Addresses
+	Members   Members
+	Issuer    Issuer
 	// Forward is the HTTP client between nodes; it has no overall timeout.
 	Forward *http.Client
 }
--- a/internal/caller/write.go
+++ b/internal/caller/write.go
@@ -20,6 +20,10 @@
 // refuse answers with a problem document.
 func (s *Server) refuse(w http.ResponseWriter, problem *api.Problem) {
 	s.opts.Metrics.Counter("caller_problems", metric.Label{Name: "reason", Value: string(problem.Reason)}).Inc(1)
+	if problem.RequestID == "" {
+		problem.Instance = newInstance()
+	}
+	s.explainProblem(problem)
 	header := w.Header()
 	header.Set("Content-Type", api.ProblemContentType)
 	if problem.RequestID != "" {
--- a/internal/claim/batcher.go
+++ b/internal/claim/batcher.go
@@ -9,13 +9,12 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/internal/kv/kvwire"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 )
 
 const (
 	// DefaultMaxBatch bounds the claims of one transaction.
-	DefaultMaxBatch = kvwire.MaxTxnOps
+	DefaultMaxBatch = kv.MaxTxnOps
 	// DefaultMinInterval is the least time between the starts of two transactions of a batcher.
 	DefaultMinInterval = 20 * time.Millisecond
 	// DefaultQueue bounds the claims that wait; further ones are refused.
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -8,6 +8,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/node"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 type serveOptions struct {
@@ -33,8 +34,14 @@
 	setCollector()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	logger := o.Settings.Log.Logger(o.std.err)
-	running, err := node.New(ctx, node.Options{Settings: o.Settings, Network: tcp.System{}, Log: logger})
+	logger, lines := o.Settings.Log.Open(o.std.out)
+	defer lines.Close()
+	outside := platform.New(platform.Options{Settings: o.Settings.Platform, Network: tcp.System{}, Log: logger})
+	defer outside.Close()
+	running, err := node.New(ctx, node.Options{
+		Settings: o.Settings, Platform: outside.Platform, Network: tcp.System{}, Log: logger,
+		LogDropped: func() int64 { return lines.Dropped().Total() },
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -12,6 +12,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/node"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
+	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // Secrets of every system that runs in one process; nothing outside of it trusts them.
@@ -69,15 +70,22 @@
 	s.mu.Lock()
 	slot := s.nodes[i]
 	s.mu.Unlock()
+	settings := s.nodeSettings(i)
+	network := s.opts.Networks(s.ip(hostNode, i+1))
+	outside := platform.New(platform.Options{
+		Settings: settings.Platform, Network: network, Log: s.log.WithField("node", settings.Node.ID),
+	})
 	started, err := node.New(ctx, node.Options{
-		Settings:    s.nodeSettings(i),
-		Network:     s.opts.Networks(s.ip(hostNode, i+1)),
+		Settings:    settings,
+		Platform:    outside.Platform,
+		Network:     network,
 		Log:         s.log,
 		Incarnation: slot.nextIncarnation(s.opts.Seed),
 		Alter:       s.opts.Alter,
 		Seed:        s.opts.Seed + uint64(i) + 1,
 	})
 	if err != nil {
+		outside.Close()
 		return Error.Wrap(err)
 	}
 	runCtx, drain := context.WithCancel(s.ctx)
@@ -87,6 +95,7 @@
 	slot.mu.Unlock()
 	s.running.Go(func() {
 		defer close(done)
+		defer outside.Close()
 		if err := started.Run(runCtx); err != nil {
 			s.log.WithError(err).Error("node failed")
 		}
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -18,6 +18,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/acceptance"
 	"github.com/monsoonrail/monsoonrail/internal/configlog"
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/fake/enginefake"
 	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
 	"github.com/monsoonrail/monsoonrail/internal/fake/plainfake"
@@ -90,8 +91,10 @@
 
 // System is a running system; Close ends it.
 type System struct {
-	opts    Options
-	log     log.Interface
+	opts Options
+	log  log.Interface
+	// lines writes the nodes' logs; nil if they are discarded.
+	lines   *eventlog.Handler
 	cancel  context.CancelFunc
 	ctx     context.Context
 	running sync.WaitGroup
@@ -116,9 +119,10 @@
 	opts.setDefaults()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s := &System{
-		opts: opts, cancel: cancel, ctx: runCtx, log: opts.logger(), KV: kvfake.New(), VMs: vmlistfake.New(),
+		opts: opts, cancel: cancel, ctx: runCtx, KV: kvfake.New(), VMs: vmlistfake.New(),
 		Ratings: ratingfake.New(markedQuality), Weights: weightfake.New(weightstore.Rate{BytesPerSecond: weightRate}),
 	}
+	s.openLog()
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
@@ -150,11 +154,12 @@
 	}
 }
 
-func (o *Options) logger() log.Interface {
-	if o.LogOutput == nil {
-		return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+func (s *System) openLog() {
+	if s.opts.LogOutput == nil {
+		s.log = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+		return
 	}
-	return o.Log.Logger(o.LogOutput)
+	s.log, s.lines = s.opts.Log.Open(s.opts.LogOutput)
 }
 
 func (s *System) start(ctx context.Context) error {
@@ -267,4 +272,7 @@
 	s.mu.Unlock()
 	s.cancel()
 	s.running.Wait()
+	if s.lines != nil {
+		s.lines.Close()
+	}
 }
--- /dev/null
+++ b/internal/eventlog/handler_test.go
@@ -0,0 +1,125 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	qt "github.com/frankban/quicktest"
+)
+
+// stuckOutput takes no line until it is let go.
+type stuckOutput struct {
+	free chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *stuckOutput) Write(line []byte) (int, error) {
+	<-o.free
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(line)
+}
+
+func (o *stuckOutput) lines() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Split(strings.TrimSpace(o.text.String()), "\n")
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var text bytes.Buffer
+		h := New(Options{Output: &text, Format: FormatJSON})
+		logger := &log.Logger{Handler: h}
+		logger.WithField("request", "n.i.1").Info("request answered")
+		h.Close()
+		var line struct {
+			Level, Message string
+			Fields         map[string]string
+		}
+		qt.Assert(t, json.Unmarshal(text.Bytes(), &line), qt.IsNil)
+		qt.Check(t, line.Level, qt.Equals, "info")
+		qt.Check(t, line.Message, qt.Equals, "request answered")
+		qt.Check(t, line.Fields, qt.DeepEquals, map[string]string{"request": "n.i.1"})
+	})
+}
+
+// TestStuckOutputBlocksNobody logs far more than the queue holds to an output that takes nothing: no call waits, the lines are
+// counted, and once the output takes lines again it is told how many are missing.
+func TestStuckOutputBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &stuckOutput{free: make(chan struct{})}
+		h := New(Options{Output: output, LinesPerSecond: 10 * queueLines})
+		logger := &log.Logger{Handler: h}
+		began := time.Now()
+		for range 2 * queueLines {
+			logger.Info("routine")
+		}
+		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+		synctest.Wait()
+		dropped := h.Dropped()
+		qt.Check(t, dropped.RoutineOverflow >= queueLines-1, qt.IsTrue, qt.Commentf("%+v", dropped))
+		qt.Check(t, dropped.RoutineOverRate, qt.Equals, int64(0))
+		close(output.free)
+		h.Close()
+		lines := output.lines()
+		qt.Check(t, lines[len(lines)-1], qt.Contains, "log lines left out")
+	})
+}
+
+// TestStuckOutputDoesNotHoldUpTheEnd closes a handler whose output never takes a line.
+func TestStuckOutputDoesNotHoldUpTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &stuckOutput{free: make(chan struct{})}
+		h := New(Options{Output: output})
+		(&log.Logger{Handler: h}).Info("never written")
+		began := time.Now()
+		h.Close()
+		qt.Check(t, time.Since(began), qt.Equals, closeTimeout)
+		close(output.free)
+	})
+}
+
+// TestRoutineLinesLeaveRoomForFailures logs a flood of routine lines and then a failure.
+func TestRoutineLinesLeaveRoomForFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var text bytes.Buffer
+		h := New(Options{Output: &text, LinesPerSecond: 100})
+		logger := &log.Logger{Handler: h}
+		for range 5000 {
+			logger.Info("routine")
+		}
+		logger.Error("broken")
+		h.Close()
+		qt.Check(t, strings.Count(text.String(), "message=routine"), qt.Equals, 101)
+		qt.Check(t, strings.Count(text.String(), "message=broken"), qt.Equals, 1)
+		qt.Check(t, h.Dropped(), qt.Equals, Dropped{RoutineOverRate: 4899})
+	})
+}
+
+func TestDependencyIsToldOfOnceEachWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines := memory.New()
+		d := Dependency{Name: "vm-list", Log: &log.Logger{Handler: lines}}
+		d.Note(nil)
+		for range 3 {
+			d.Note(errors.New("refused"))
+			time.Sleep(time.Second)
+		}
+		d.Note(nil)
+		d.Note(nil)
+		qt.Assert(t, lines.Entries, qt.HasLen, 2)
+		qt.Check(t, lines.Entries[0].Message, qt.Equals, "dependency lost")
+		qt.Check(t, lines.Entries[1].Message, qt.Equals, "dependency back")
+		qt.Check(t, lines.Entries[1].Fields, qt.DeepEquals, log.Fields{"dependency": "vm-list", "out_for": "3s", "failures": 3})
+	})
+}
--- a/internal/fake/kvfake/handler.go
+++ b/internal/fake/kvfake/handler.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/internal/kv/kvwire"
+	"github.com/monsoonrail/monsoonrail/platform/kvwire"
 )
 
 // requestError is a refusal of a request that can never succeed.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -136,13 +136,24 @@
 
 // publish makes the replica's state the one in force; the caller holds the lock.
 func (f *Follower) publish() {
-	f.current.Store(f.replica.state)
+	before := f.current.Swap(f.replica.state)
+	f.log.WithFields(log.Fields{
+		"revision": int64(f.replica.state.Revision()), "before": int64(before.Revision()), "held_for": heldFor(f.status.Since),
+	}).Info("configuration in force")
 	f.status.Since = time.Now()
 	f.meters.revision.Update(int64(f.replica.state.Revision()))
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// heldFor returns how long a configuration was in force; empty for the first one.
+func heldFor(since time.Time) string {
+	if since.IsZero() {
+		return ""
+	}
+	return time.Since(since).Round(time.Millisecond).String()
+}
+
 func (f *Follower) tellPeers() {
 	if f.peers != nil {
 		f.peers.Notify(topicName)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+const (
+	// MaxTxnOps bounds the conditions of a transaction and the operations of each branch.
+	MaxTxnOps = 128
+	// MaxValueBytes bounds a value.
+	MaxValueBytes = 1 << 20
+)
+
 // Version is the revision of the service at which a key was last changed; 0 means that the key does not exist.
 type Version int64
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -249,13 +249,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	isChange := l.held.id != held.id
+	before := l.held
 	l.held = held
 	if isChange {
+		l.explain(before, held)
 		close(l.changed)
 		l.changed = make(chan struct{})
 	}
 }
 
+// explain logs that the lease was taken, given up or lost.
+func (l *Lease) explain(before, now holding) {
+	entry := l.opts.Log.WithFields(log.Fields{"service": string(l.opts.Service), "duty": l.opts.Duty})
+	if now.id != 0 {
+		entry.WithField("fencing", int64(now.fencing)).Info("lease taken")
+		return
+	}
+	entry.WithFields(log.Fields{
+		"fencing": int64(before.fencing), "left": before.remaining(time.Now()).Round(time.Millisecond).String(),
+	}).Info("lease given up or lost")
+}
+
 // jitter spreads the steps of many nodes.
 func (l *Lease) jitter(d time.Duration) time.Duration {
 	return d + time.Duration(l.opts.Rand.Int64N(int64(l.opts.TTL/20)+1))
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -1,27 +1,12 @@
 package node
 
 import (
-	"net/http"
-
 	"github.com/monsoonrail/monsoonrail/internal/claim"
 	"github.com/monsoonrail/monsoonrail/internal/idem"
 	"github.com/monsoonrail/monsoonrail/internal/keyowner"
-	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/internal/rollout"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
-	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
-// makeStore connects to the key-value service over a transport of its own.
-func (n *Node) makeStore() {
-	transport := tcp.NewTransport(n.opts.Network)
-	n.store = kv.NewGateway(kv.GatewayOptions{
-		Endpoints: n.opts.Settings.Platform.KV, Client: &http.Client{Transport: transport}, Timeout: n.opts.Settings.Platform.KVTimeout,
-	})
-	n.rollOuts = rollout.NewStore(n.store)
-	n.parts.onClose = append(n.parts.onClose, transport.CloseIdleConnections)
-}
-
 // makeKeys makes what decides about idempotency keys.
 func (n *Node) makeKeys() error {
 	issuer, err := idem.NewIssuer(idem.IssuerOptions{
--- a/internal/node/make_parts.go
+++ b/internal/node/make_parts.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/admission"
 	"github.com/monsoonrail/monsoonrail/internal/guard"
+	"github.com/monsoonrail/monsoonrail/internal/rollout"
 	"github.com/monsoonrail/monsoonrail/internal/serverchoice"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
 	"github.com/monsoonrail/monsoonrail/internal/vmlist"
@@ -14,9 +15,10 @@
 
 // makeParts makes all that the request path asks, and the duties that feed it.
 func (n *Node) makeParts(ctx context.Context) error {
-	n.makeStore()
+	n.store = n.opts.Platform.Store
+	n.rollOuts = rollout.NewStore(n.store)
 	n.parts.vms = vmlist.NewPoller(vmlist.PollerOptions{
-		Client:   vmlist.NewClient(n.opts.Settings.Platform.VMList, n.plainClient()),
+		Client:   n.opts.Platform.VMs,
 		Interval: n.opts.Settings.Platform.VMListPoll,
 		Rand:     n.random(streamVMs),
 		Log:      n.log,
@@ -34,6 +36,9 @@
 		return err
 	}
 	n.register()
+	if err := n.listenMetrics(ctx); err != nil {
+		return err
+	}
 	return n.listenPeers(ctx)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
 	"github.com/monsoonrail/monsoonrail/internal/admission"
@@ -54,8 +55,11 @@
 // Options holds what a node is made of.
 type Options struct {
 	Settings setting.Settings
+	Platform Platform
 	Network  tcp.Network
 	Log      log.Interface
+	// LogDropped counts the log lines left out, for the metrics; nil if none are counted.
+	LogDropped func() int64
 	// Incarnation names this run of the node; empty takes a fresh random one, as every real node must.
 	Incarnation api.Incarnation
 	// Alter changes what the request path asks, for tests that break a promise on purpose; nil changes nothing.
@@ -131,6 +135,9 @@
 	n.draws = n.random(streamDraws)
 	n.log = opts.Log.WithFields(log.Fields{"node": opts.Settings.Node.ID, "incarnation": string(n.incarnation)})
 	n.tree = supervisor.New(n.log)
+	if opts.LogDropped != nil {
+		n.metrics.Registry().GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(opts.LogDropped))
+	}
 	sessions, err := session.NewKeys(secretBytes(opts.Settings.Secrets.Session)...)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -264,6 +271,7 @@
 	n.tree.Add(supervisor.Duty{Name: "server-ends", Run: n.watchServerEnds})
 	n.tree.Add(supervisor.Duty{Name: "vm-list", Run: n.parts.vms.Run})
 	n.tree.Add(supervisor.Duty{Name: "discovery", Run: n.discover})
+	n.tree.Add(supervisor.Duty{Name: "beliefs", Run: n.watchBeliefs})
 	for _, duty := range n.parts.duties {
 		n.tree.Add(duty)
 	}
--- /dev/null
+++ b/internal/node/platform.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/rating"
+	"github.com/monsoonrail/monsoonrail/internal/ratingfeed"
+	"github.com/monsoonrail/monsoonrail/internal/rollout"
+	"github.com/monsoonrail/monsoonrail/internal/vmlist"
+)
+
+// Platform is what a node uses of the platform it runs on.
+type Platform struct {
+	Store kv.Store
+	VMs   vmlist.Lister
+	// Ratings is nil where the platform has no rating service.
+	Ratings RatingService
+	// Weights is nil where the platform has no weight store.
+	Weights rollout.WeightSource
+}
+
+// RatingService takes answers and gives ratings.
+type RatingService interface {
+	ratingfeed.Service
+	rating.Reader
+}
--- a/internal/node/ratings.go
+++ b/internal/node/ratings.go
@@ -21,24 +21,23 @@
 		Incarnation: n.incarnation, FailureDomain: api.FailureDomain(n.opts.Settings.Node.FailureDomain),
 		Rand: n.random(streamVersions),
 	}
-	base := n.opts.Settings.Platform.Rating
-	if base != "" {
+	service := n.opts.Platform.Ratings
+	if service != nil {
 		opts.RatingWait = ratingWait
 	}
 	n.versions = versionchoice.New(opts)
 	n.parts.versions = n.versions
 	n.parts.duties = append(n.parts.duties, supervisor.Duty{Name: "estimates", Run: n.versions.Run})
-	if base == "" {
+	if service == nil {
 		n.parts.ratings = noRatings{}
 		return
 	}
-	client := rating.NewClient(base, n.plainClient())
 	feed := ratingfeed.New(ratingfeed.Options{
-		Service: client, Source: n.incarnation, Counter: n.versions, Trials: n.cluster.trials, PerSecond: n.opts.Settings.Platform.RatingsPerSecond,
+		Service: service, Source: n.incarnation, Counter: n.versions, Trials: n.cluster.trials, PerSecond: n.opts.Settings.Platform.RatingsPerSecond,
 		Wait: ratingWait, Metrics: n.metrics, Log: n.log,
 	})
 	poller := rating.NewPoller(rating.PollerOptions{
-		Client: client, Source: n.incarnation, Handle: feed.Handle, Rand: n.random(streamRatings), Log: n.log,
+		Client: service, Source: n.incarnation, Handle: feed.Handle, Rand: n.random(streamRatings), Log: n.log,
 	})
 	n.parts.ratings = feed
 	n.parts.duties = append(n.parts.duties,
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -10,7 +10,6 @@
 	"github.com/monsoonrail/monsoonrail/internal/rollout"
 	"github.com/monsoonrail/monsoonrail/internal/router"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
-	"github.com/monsoonrail/monsoonrail/internal/weightstore"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -45,11 +44,10 @@
 
 // weights tells roll-outs how fast versions can be loaded; nil if the platform has no weight store.
 func (n *Node) weights() rollout.WeightStore {
-	base := n.opts.Settings.Platform.WeightStore
-	if base == "" {
+	if n.opts.Platform.Weights == nil {
 		return nil
 	}
-	return rollout.NewCachedWeights(weightstore.NewClient(base, n.plainClient()))
+	return rollout.NewCachedWeights(n.opts.Platform.Weights)
 }
 
 // makeCopier makes the duty that sends copies of answered requests to candidates under suspicion.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/monsoonrail/monsoonrail/internal/acceptance"
@@ -49,7 +51,10 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- n.tree.Run(dutyCtx) }()
-	n.log.Info("node started")
+	n.log.WithFields(log.Fields{
+		"failure_domain": n.opts.Settings.Node.FailureDomain, "listen": n.opts.Settings.Node.Listen, "duties": n.tree.Len(),
+		"key_value_service": strings.Join(n.opts.Settings.Platform.KV, ","),
+	}).Info("node started")
 	select {
 	case err := <-ended:
 		n.Close()
--- a/internal/rating/poller.go
+++ b/internal/rating/poller.go
@@ -14,9 +14,16 @@
 // DefaultInterval is the mean time between two reads of the ratings.
 const DefaultInterval = 2 * time.Second
 
+// Reader reads ratings page by page.
+type Reader interface {
+	// Fetch returns the ratings after a sequence number of the answers that a source handed in, or of all where the service
+	// does not know sources.
+	Fetch(ctx context.Context, source api.Incarnation, after int64) (Page, error)
+}
+
 // PollerOptions configures NewPoller.
 type PollerOptions struct {
-	Client *Client
+	Client Reader
 	// Source is this node's incarnation, for whose answers the ratings are read.
 	Source api.Incarnation
 	// Handle is called with each rating once, in order, from the duty's goroutine; it must not block.
--- a/internal/ratingfeed/feed.go
+++ b/internal/ratingfeed/feed.go
@@ -30,7 +30,7 @@
 	secondSuffix = "~2"
 )
 
-// Service rates answers; *rating.Client is one.
+// Service rates answers.
 type Service interface {
 	Submit(ctx context.Context, s rating.Submission) error
 	SubmitAndWait(ctx context.Context, s rating.Submission, wait time.Duration) (rating.Rating, bool, error)
--- a/internal/rollout/weights.go
+++ b/internal/rollout/weights.go
@@ -12,10 +12,18 @@
 // rateAge is how long the weight store's rate is kept.
 const rateAge = 5 * time.Second
 
+// WeightSource answers from the platform's weight store.
+type WeightSource interface {
+	// FindWeights returns the weights of a version; the error is IsErrVersionNotExist, IsErrOverRate or that of the call.
+	FindWeights(ctx context.Context, version api.VersionID) (weightstore.Weights, error)
+	// Rate returns how fast the store delivers now.
+	Rate(ctx context.Context) (weightstore.Rate, error)
+}
+
 // CachedWeights is a WeightStore that asks the platform's weight store seldom: it keeps what a version weighs, and the
 // rate for a few seconds. Its methods may be called by many goroutines.
 type CachedWeights struct {
-	client *weightstore.Client
+	client WeightSource
 
 	mu    sync.Mutex
 	bytes map[api.VersionID]int64
@@ -23,8 +31,8 @@
 	asked time.Time
 }
 
-// NewCachedWeights returns a cache before a client.
-func NewCachedWeights(client *weightstore.Client) *CachedWeights {
+// NewCachedWeights returns a cache before a source.
+func NewCachedWeights(client WeightSource) *CachedWeights {
 	return &CachedWeights{client: client, bytes: map[api.VersionID]int64{}}
 }
 
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/answer"
 	"github.com/monsoonrail/monsoonrail/internal/engine"
 	"github.com/monsoonrail/monsoonrail/internal/registry"
@@ -67,12 +69,14 @@
 func (c *chatRun) run(ctx context.Context) {
 	c.began = time.Now()
 	c.router.firstTry()
-	admitted, err := c.router.opts.Admission.Admit(ctx, c.admissionRequest())
+	req := c.admissionRequest()
+	admitted, err := c.router.opts.Admission.Admit(ctx, req)
 	if err != nil {
 		c.fail(AsProblem(err, api.OutcomeNotRun))
 		return
 	}
 	defer admitted.Release()
+	c.router.explainAdmitted(req, c.began)
 	c.answered = admitted.Answered
 	c.priority = admitted.priority(c.plan.call.Priority)
 	c.runAdmitted(ctx)
@@ -101,8 +105,9 @@
 
 // afterFailure returns a problem if the request must not be tried again.
 func (c *chatRun) afterFailure(ctx context.Context, to target, err error) *api.Problem {
-	c.router.opts.Log.WithField("request", string(c.answer.ID)).WithField("server", string(to.server.ID)).
-		WithField("version", to.version.String()).WithError(err).Info("attempt failed")
+	c.router.logOf(c.answer.ID).WithFields(log.Fields{
+		"server": string(to.server.ID), "version": to.version.String(), "handed": c.handed, "chunks": c.answer.Len(),
+	}).WithError(err).Info(msgFailed)
 	if ctx.Err() != nil {
 		return c.problemEnded(ctx)
 	}
@@ -168,6 +173,7 @@
 		Version: to.version, At: time.Now(),
 	})
 	c.router.opts.Trials.Dispatched(c.answer.ID, c.suspectKey(to.version))
+	c.explainChoice(to, gen.attempt)
 	err := gen.streamUnlessLate(ctx)
 	if err == nil || errors.Is(err, errEscalated) {
 		to.server.MarkWell()
@@ -218,7 +224,7 @@
 	defer cancel()
 	err := c.router.opts.Engines.Cancel(ctx, address, attempt)
 	if err != nil {
-		c.router.opts.Log.WithField("request", string(c.answer.ID)).WithError(err).Debug("cancel failed")
+		c.router.logOf(c.answer.ID).WithError(err).Debug("cancel failed")
 	}
 	return err == nil
 }
@@ -266,6 +272,7 @@
 	}
 	c.answer.Finish(tail)
 	c.router.observeChat(c, to, bill)
+	c.explainAnswered(to, bill, tail)
 	// A first answer of a cascade that is kept was handed over already.
 	if c.draft == nil || !c.escalated.IsZero() {
 		c.router.opts.Ratings.Offer(c.rated(to, c.answer))
--- a/internal/router/draft.go
+++ b/internal/router/draft.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/answer"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -33,6 +35,10 @@
 		return c.keepDraft(ctx)
 	}
 	c.router.opts.Metrics.Counter("escalations").Inc(1)
+	c.router.logOf(c.answer.ID).WithFields(log.Fields{
+		"version": gen.to.version.String(), "quality": float64(quality), "wanted": float64(gen.to.choice.EscalateBelow),
+		"then": gen.to.choice.Then.String(),
+	}).Info(msgReplaced)
 	c.arm = gen.to.choice
 	c.escalated = c.arm.Then
 	c.spent = c.cost(gen.to.version, tail.Usage)
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/answer"
 	"github.com/monsoonrail/monsoonrail/internal/engine"
 	"github.com/monsoonrail/monsoonrail/internal/silence"
@@ -154,6 +156,9 @@
 			g.resumedAt = time.Now()
 			g.stall.end()
 			g.watch.Probed(silence.ProbeStill, g.resumedAt)
+			g.run.router.logOf(g.run.answer.ID).WithFields(log.Fields{
+				"attempt": g.attempt, "server": string(g.to.server.ID), "offset": g.next, "resumes": g.resumes,
+			}).Info(msgResumed)
 			if !g.firstAt.IsZero() {
 				g.server.Resumed(g.resumedAt)
 			}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/answer"
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
@@ -115,6 +117,7 @@
 		return
 	}
 	defer admitted.Release()
+	p.router.explainAdmitted(req, p.began)
 	defer p.leaveLate()
 	for {
 		server, problem := p.choose(ctx)
@@ -196,6 +199,7 @@
 		return &errStaleChoice{detail: "server is leaving"}
 	}
 	p.attempts++
+	p.explainChoice(server)
 	left := func() {}
 	defer func() { left() }()
 	dispatched := time.Now()
@@ -268,6 +272,7 @@
 			"the call ran but its bill could not be taken")
 	}
 	p.answer.Finish(answer.Tail{})
+	p.explainAnswered(bill)
 	label := metric.Label{Name: "team", Value: string(p.call.Team)}
 	p.router.opts.Metrics.ObserveDuration("latency", bill.At.Sub(p.began), label)
 	return nil
@@ -275,8 +280,8 @@
 
 // afterFailure returns a problem if the call must not be tried again.
 func (p *plainRun) afterFailure(ctx context.Context, server *registry.Server, err error) *api.Problem {
-	p.router.opts.Log.WithField("request", string(p.answer.ID)).WithField("server", string(server.ID)).
-		WithError(err).Info("attempt failed")
+	p.router.logOf(p.answer.ID).WithFields(log.Fields{"server": string(server.ID), "handed": p.handed}).
+		WithError(err).Info(msgFailed)
 	var problem *api.Problem
 	if errors.As(err, &problem) {
 		return problem
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,6 +86,8 @@
 	cancel context.CancelFunc
 	// kept tells that the request runs to its end even if nobody waits for it.
 	kept bool
+	// abandoned tells that the request was ended because nobody waited for it.
+	abandoned bool
 }
 
 // New returns a router; Close must be called.
@@ -96,13 +98,9 @@
 
 // Drain waits until no request runs or ctx ends; it reports whether none runs.
 func (r *Router) Drain(ctx context.Context) bool {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
 	for r.Running() > 0 {
-		select {
-		case <-ctx.Done():
+		if !sleep.For(ctx, drainPoll) {
 			return false
-		case <-ticker.C:
 		}
 	}
 	return true
@@ -182,7 +180,9 @@
 	defer r.mu.Unlock()
 	for _, handle := range r.running {
 		since, idle := handle.answer.IdleSince()
-		if idle && !handle.kept && now.Sub(since) >= abandonAfter {
+		if idle && !handle.kept && !handle.abandoned && now.Sub(since) >= abandonAfter {
+			handle.abandoned = true
+			r.logOf(handle.answer.ID).WithField("idle_for", short(now.Sub(since))).Info(msgGivenUp)
 			handle.cancel()
 		}
 	}
@@ -202,6 +202,7 @@
 	wasHanded := problem.Outcome != api.OutcomeNotRun
 	problem = key.truthful(problem)
 	r.opts.Metrics.Counter("refusals", reasonLabel(problem)).Inc(1)
+	r.explainRefused(problem)
 	ans.Fail(problem)
 	if !wasHanded {
 		r.release(key)
--- a/internal/setting/log.go
+++ b/internal/setting/log.go
@@ -2,21 +2,27 @@
 
 import (
 	"io"
+	"strconv"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/logfmt"
+
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 )
 
 // Log says what is logged and how.
 type Log struct {
 	Level  string `long:"log-level" env:"MONSOONRAIL_LOG_LEVEL" default:"info" description:"least severe level that is logged: debug, info, warn or error"`
 	Format string `long:"log-format" env:"MONSOONRAIL_LOG_FORMAT" default:"text" description:"one event a line, as logfmt text or JSON"`
+	// LinesPerSecond is 0 for the default where no flags were parsed.
+	LinesPerSecond float64 `long:"log-lines-per-second" env:"MONSOONRAIL_LOG_LINES_PER_SECOND" default:"1000" description:"bound of routine lines, and apart from them of warnings and errors; lines beyond it are counted and left out, from 1 to 100000; 0 takes the default"`
 }
 
 const (
 	formatText = "text"
 	formatJSON = "json"
+
+	minLogLines = 1
+	maxLogLines = 100_000
 )
 
 func (l *Log) check() []error {
@@ -26,18 +32,22 @@
 	if l.Format != "" && l.Format != formatText && l.Format != formatJSON {
 		return []error{bad("log-format", l.Format, "text or json")}
 	}
+	if l.LinesPerSecond != 0 && (l.LinesPerSecond < minLogLines || l.LinesPerSecond > maxLogLines) {
+		return []error{bad("log-lines-per-second", strconv.FormatFloat(l.LinesPerSecond, 'g', -1, 64), "from 1 to 100000")}
+	}
 	return nil
 }
 
-// Logger returns a logger that writes to w; the settings must have been checked.
-func (l *Log) Logger(w io.Writer) *log.Logger {
+// Open returns a logger that writes to w, and its handler, which must be closed; the settings must have been checked.
+func (l *Log) Open(w io.Writer) (*log.Logger, *eventlog.Handler) {
 	level, err := log.ParseLevel(l.Level)
 	if err != nil {
 		level = log.InfoLevel
 	}
-	logger := &log.Logger{Level: level, Handler: logfmt.New(w)}
+	opts := eventlog.Options{Output: w, LinesPerSecond: l.LinesPerSecond}
 	if l.Format == formatJSON {
-		logger.Handler = json.New(w)
+		opts.Format = eventlog.FormatJSON
 	}
-	return logger
+	handler := eventlog.New(opts)
+	return &log.Logger{Level: level, Handler: handler}, handler
 }
--- a/internal/setting/node.go
+++ b/internal/setting/node.go
@@ -19,6 +19,7 @@
 	Advertise     string        `long:"advertise" env:"MONSOONRAIL_ADVERTISE" description:"base URL that callers use; made from --listen if empty"`
 	PeerAdvertise string        `long:"peer-advertise" env:"MONSOONRAIL_PEER_ADVERTISE" description:"IP number and port that peers use; --peer-listen if empty"`
 	Seeds         []string      `long:"seed" env:"MONSOONRAIL_SEEDS" env-delim:"," description:"IP number and port of a peer to begin with; may be repeated"`
+	MetricsListen string        `long:"metrics-listen" env:"MONSOONRAIL_METRICS_LISTEN" description:"IP number and port of the metrics, served without a key; if empty they are on --listen only, with an operator's key"`
 	AddressKeep   time.Duration `long:"address-keep" env:"MONSOONRAIL_ADDRESS_KEEP" default:"30s" description:"how long callers may use the addresses they were told, from 1s to 10m"`
 	DrainTimeout  time.Duration `long:"drain-timeout" env:"MONSOONRAIL_DRAIN_TIMEOUT" default:"5m" description:"how long a stopping node waits for its requests, from 1s to 1h"`
 }
@@ -43,6 +44,9 @@
 	if n.PeerAdvertise != "" {
 		faults = append(faults, checkAddress("peer-advertise", n.PeerAdvertise)...)
 	}
+	if n.MetricsListen != "" {
+		faults = append(faults, checkAddress("metrics-listen", n.MetricsListen)...)
+	}
 	for _, seed := range n.Seeds {
 		faults = append(faults, checkAddress("seed", seed)...)
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -59,6 +59,9 @@
 // Add appends a duty; it must not be called once Run has begun.
 func (t *Tree) Add(duty Duty) { t.duties = append(t.duties, duty) }
 
+// Len counts the duties.
+func (t *Tree) Len() int { return len(t.duties) }
+
 // IsHealthy reports whether no duty keeps failing.
 func (t *Tree) IsHealthy() bool { return t.failing.Load() == 0 }
 
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/list.go
@@ -3,25 +3,16 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
 
-	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
 // Error is the class of every error of the package.
 var Error = errs.Class("vmlist")
 
-const (
-	// fetchTimeout bounds one read of the list.
-	fetchTimeout = 5 * time.Second
-	// maxListBytes bounds the list; 12,000 VMs take about 2.5 MB.
-	maxListBytes = 16 << 20
-)
-
 // Role tells what a VM is for.
 type Role string
 
@@ -59,17 +50,6 @@
 	VMs  []VM
 }
 
-// Client reads the list.
-type Client struct {
-	base string
-	http *http.Client
-}
-
-// NewClient returns a client of the list below a base URL.
-func NewClient(base string, client *http.Client) *Client {
-	return &Client{base: base, http: client}
-}
-
 // Fetched is one read of the list.
 type Fetched struct {
 	List List
@@ -81,28 +61,8 @@
 	Bytes int64
 }
 
-// Fetch reads the list, unless it still is the one that etag names.
-func (c *Client) Fetch(ctx context.Context, etag string) (Fetched, error) {
-	call := httpjson.Request{
-		Method:     http.MethodGet,
-		URL:        c.base + "/v1/vms",
-		Header:     http.Header{},
-		Timeout:    fetchTimeout,
-		Limit:      maxListBytes,
-		AcceptGzip: true,
-	}
-	if etag != "" {
-		call.Header.Set("If-None-Match", etag)
-	}
-	var list List
-	answer, err := httpjson.Do(ctx, c.http, call, &list)
-	if err != nil {
-		return Fetched{}, Error.Wrap(err)
-	}
-	return Fetched{
-		List:        list,
-		ETag:        answer.Header.Get("ETag"),
-		IsUnchanged: answer.Status == http.StatusNotModified,
-		Bytes:       answer.Transferred,
-	}, nil
+// Lister reads the platform's list.
+type Lister interface {
+	// Fetch reads the list, unless it still is the one that etag names.
+	Fetch(ctx context.Context, etag string) (Fetched, error)
 }
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 )
@@ -34,13 +35,14 @@
 
 // PollerOptions configures NewPoller.
 type PollerOptions struct {
-	Client *Client
+	Client Lister
 	// Interval is the time between reads; 0 means DefaultInterval.
 	Interval time.Duration
 	// BytesPerSecond stretches the interval of a long list; 0 means DefaultBytesPerSecond.
 	BytesPerSecond int
 	Rand           *rand.Rand
-	Log            log.Interface
+	// Log gets a line for each list that changed; nil logs nothing.
+	Log log.Interface
 	// OnNews is called when servers began to leave that no peer had named; nil if nobody is told.
 	OnNews func()
 	// Metrics gets the counters of the marks; nil counts for nobody.
@@ -73,6 +75,7 @@
 	if opts.BytesPerSecond == 0 {
 		opts.BytesPerSecond = DefaultBytesPerSecond
 	}
+	opts.Log = eventlog.OrDiscard(opts.Log)
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewRegistry()
 	}
@@ -128,6 +131,7 @@
 	p.list = NewSnapshot(fetched.List)
 	p.list.Reads = before.Reads + 1
 	p.marks.forget(p.list.AsOf)
+	p.explain(before)
 	p.publish()
 	// Those of the first list are old news.
 	if before.Reads == 0 {
@@ -136,6 +140,19 @@
 	return p.tellNew(before.leaving())
 }
 
+// explain logs a list that counts other VMs than the one before. The caller holds the lock.
+func (p *Poller) explain(before *Snapshot) {
+	now, was := p.list.counts(), before.counts()
+	if now == was && before.Reads > 0 {
+		return
+	}
+	p.opts.Log.WithFields(log.Fields{
+		"nodes": now.nodes, "servers": now.servers, "leaving": now.leaving,
+		"servers_before": was.servers, "leaving_before": was.leaving,
+		"age": time.Since(p.list.AsOf).Round(time.Millisecond).String(),
+	}).Info("VM list changed")
+}
+
 // tellNew has peers told which servers began to leave, and reports whether there are any. The caller holds the lock.
 func (p *Poller) tellNew(known map[instance]fleet.Server) (news bool) {
 	began := p.list.leaving()
--- a/internal/vmlist/snapshot.go
+++ b/internal/vmlist/snapshot.go
@@ -61,6 +61,19 @@
 	return servers
 }
 
+// counts sums up a snapshot.
+type counts struct{ nodes, servers, leaving int }
+
+func (s *Snapshot) counts() counts {
+	sum := counts{nodes: len(s.Nodes), servers: len(s.Servers)}
+	for _, server := range s.Servers {
+		if server.Leaving {
+			sum.leaving++
+		}
+	}
+	return sum
+}
+
 // leaving returns the servers that leave.
 func (s *Snapshot) leaving() map[instance]fleet.Server {
 	servers := make(map[instance]fleet.Server)
--- a/pkg/api/problem.go
+++ b/pkg/api/problem.go
@@ -67,6 +67,8 @@
 	Outcome Outcome `json:"Outcome"`
 	// RequestID names the request, if it got that far.
 	RequestID RequestID `json:"RequestID,omitempty"`
+	// Instance names a refusal of a request that got no id, as the node's log does.
+	Instance string `json:"instance,omitempty"`
 	// RetryAfter is how long the caller should wait before another try; 0 means that another try won't help. JSON has it
 	// in whole seconds, as RetryAfterSeconds, since an error within a stream has no headers.
 	RetryAfter time.Duration `json:"-"`
