--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -71,6 +71,9 @@
 	slot := s.nodes[i]
 	s.mu.Unlock()
 	settings := s.nodeSettings(i)
+	if s.opts.Runner != nil {
+		return Error.Wrap(s.opts.Runner.StartNode(ctx, i, settings))
+	}
 	network := s.opts.Networks(s.ip(hostNode, i+1))
 	outside := platform.New(platform.Options{
 		Settings: settings.Platform, Network: network, Log: s.log.WithField("node", settings.Node.ID),
@@ -160,11 +163,15 @@
 
 // NodeURL returns the base URL of a place's node.
 func (s *System) NodeURL(i int) string {
-	return fmt.Sprintf("http://%s:%d", s.ip(hostNode, i+1), callerPort)
+	return "http://" + s.opts.Reach(fmt.Sprintf("%s:%d", s.ip(hostNode, i+1), callerPort))
 }
 
 // KillNode ends a node at once.
 func (s *System) KillNode(i int) {
+	if s.opts.Runner != nil {
+		s.opts.Runner.KillNode(i)
+		return
+	}
 	s.mu.Lock()
 	slot := s.nodes[i]
 	s.mu.Unlock()
@@ -173,6 +180,10 @@
 
 // DrainNode stops a node gracefully and waits for its end.
 func (s *System) DrainNode(i int) {
+	if s.opts.Runner != nil {
+		s.opts.Runner.DrainNode(i)
+		return
+	}
 	s.mu.Lock()
 	slot := s.nodes[i]
 	s.mu.Unlock()
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -81,6 +81,10 @@
 	// LogOutput receives the nodes' logs; nil discards them.
 	LogOutput io.Writer
 	Log       setting.Log
+	// Runner runs the nodes; nil runs them in this process.
+	Runner NodeRunner
+	// Reach returns the address at which others reach a host that listens on an address, as behind a relay; nil means the same.
+	Reach func(address string) string
 	// Alter changes every node's request path, for tests that break a promise on purpose.
 	Alter func(*router.Options)
 	// DrainTimeout is how long a stopping node waits for its requests; 0 means a minute.
@@ -89,6 +93,13 @@
 	AddressKeep time.Duration
 }
 
+// NodeRunner runs nodes in processes of their own. KillNode and DrainNode return once the node has ended.
+type NodeRunner interface {
+	StartNode(ctx context.Context, i int, settings setting.Settings) error
+	KillNode(i int)
+	DrainNode(i int)
+}
+
 // System is a running system; Close ends it.
 type System struct {
 	opts Options
@@ -134,6 +145,9 @@
 	if o.Networks == nil {
 		o.Networks = func(string) tcp.Network { return tcp.System{} }
 	}
+	if o.Reach == nil {
+		o.Reach = func(address string) string { return address }
+	}
 	if o.Prefix == "" {
 		o.Prefix = "127.1"
 	}
--- a/internal/dev/vms.go
+++ b/internal/dev/vms.go
@@ -11,13 +11,13 @@
 func (s *System) listVMs() {
 	for _, server := range s.Servers() {
 		s.VMs.Put(vmlist.VM{
-			ID: string(server.ID), Address: server.Address, FailureDomain: server.FailureDomain,
+			ID: string(server.ID), Address: s.opts.Reach(server.Address), FailureDomain: server.FailureDomain,
 			Role: vmlist.RoleServer, Service: server.Service, State: vmlist.StateLive,
 		})
 	}
 	for i := range s.opts.Nodes {
 		s.VMs.Put(vmlist.VM{
-			ID: fmt.Sprintf("node-%d", i+1), Address: fmt.Sprintf("%s:%d", s.ip(hostNode, i+1), callerPort),
+			ID: fmt.Sprintf("node-%d", i+1), Address: s.opts.Reach(fmt.Sprintf("%s:%d", s.ip(hostNode, i+1), callerPort)),
 			FailureDomain: s.domain(i), Role: vmlist.RoleEntry, State: vmlist.StateLive,
 		})
 	}
--- a/internal/play/faults.go
+++ b/internal/play/faults.go
@@ -167,7 +167,11 @@
 	id := servers[i].ID
 	if planned.Kind == trace.FaultLeaveServer {
 		p.system.LeaveServer(id)
-		return fault{text: string(id) + " leaves", end: func() { p.system.JoinServer(id) }}, nil
+		joined := p.leaving.leave(id)
+		return fault{text: string(id) + " leaves", end: func() {
+			joined()
+			p.system.JoinServer(id)
+		}}, nil
 	}
 	ip, err := p.addressOf(trace.Fault{Target: string(id)})
 	if err != nil {
--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -50,6 +50,8 @@
 	Speed float64
 	// Network is that of the system and the callers; nil means loopback TCP.
 	Network Network
+	// OnStart, if set, is called with the system once it runs, before the first call.
+	OnStart func(system *dev.System)
 	// OnDone, if set, is called after each call, by many goroutines.
 	OnDone func()
 	// OnFault, if set, is told of each fault that begins or ends.
@@ -104,6 +106,9 @@
 	if !sleep.For(ctx, warmUp) {
 		return nil, Error.Wrap(ctx.Err())
 	}
+	if opts.OnStart != nil {
+		opts.OnStart(system)
+	}
 	return p.play(ctx)
 }
 
@@ -117,6 +122,8 @@
 	poison poisonCaller
 	// versions holds what became of versions.
 	versions versionFaults
+	// leaving holds when servers were taken out of service.
+	leaving leavingServers
 	used     resources
 }
 
@@ -144,6 +151,7 @@
 	made.Resources = p.used.samples
 	made.Broken = append(made.Broken, p.poison.broken(seen.Runs)...)
 	made.Broken = append(made.Broken, p.versions.broken(seen)...)
+	made.Broken = append(made.Broken, p.leaving.broken(seen.Runs)...)
 	made.Exposure = p.versions.exposure(seen)
 	if bound := made.Bounds.Exposure; bound > 0 && made.Exposure > bound {
 		made.Broken = append(made.Broken, fmt.Sprintf("Exposure: %d calls answered by a bad version, at most %d", made.Exposure, bound))
