Forward requests over new connections: kept ones may have gone silent

Their keys' node had lost its connections to silence, and the nodes that were asked next forwarded over kept, silent ones until the callers' deadline; the log shows the forwards at 6 s and 18 s with nothing after them. Ruled out: the client's tries and the owner node, which answered what reached it.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -67,7 +67,8 @@
 	Addresses Addresses
 	Members   Members
 	Issuer    Issuer
-	// Forward is the HTTP client between nodes; it has no overall timeout.
+	// Forward is the HTTP client between nodes; it has no overall timeout and opens a connection for each request: kept ones may
+	// have gone silent, and requests are forwarded seldom.
 	Forward *http.Client
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,7 +244,7 @@
 		Addresses:   n,
 		Members:     n.parts.members,
 		Issuer:      n.parts.issuer,
-		Forward:     n.plainClient(),
+		Forward:     n.freshClient(),
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/", callers.Handler())
