--- a/internal/play/play.go
+++ b/internal/play/play.go
@@ -124,7 +124,7 @@
 	versions versionFaults
 	// leaving holds when servers were taken out of service.
 	leaving leavingServers
-	used     resources
+	used    resources
 }
 
 func (p *player) play(ctx context.Context) (*report.Report, error) {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -71,7 +71,9 @@
 // node or its server does; all else overlaps.
 func draw(seed uint64, of size) schedule {
 	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
-	within := func(least, most time.Duration) time.Duration { return least + time.Duration(rng.Int64N(int64(most-least))) }
+	within := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int64N(int64(most-least)))
+	}
 	var s schedule
 	var nodeFree, serverFree, storeFree time.Duration
 	count := int(of.faults * of.lasts.Seconds())
