--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -86,37 +86,48 @@
 func soak(t *testing.T, binary string, seed uint64, of size) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	qt.Assert(t, err, qt.IsNil)
-	made, broken := runSoak(t, binary, dir, seed, of)
+	plan := draw(seed, of)
+	made, broken := runSoak(t, run{binary: binary, dir: dir, seed: seed, size: of, plan: plan})
 	if len(broken) == 0 {
 		_ = os.RemoveAll(dir)
 		t.Logf("seed %d: %d calls, %d answered, %d refused, %d repeated", seed, made.Verdict.Requests, made.Verdict.Answered,
 			made.Verdict.RefusedNotRun+made.Verdict.RefusedMayHaveRun+made.Verdict.RefusedRan, made.Verdict.Repeated)
 		return
 	}
-	plan := draw(seed, of)
 	t.Errorf("seed %d broke %s\nschedule %v\n%v\nexamples:\n%s\nlogs in %s", seed, strings.Join(broken, "; "),
 		plan.trace, plan.events, strings.Join(made.Verdict.Examples, "\n"), dir)
 }
 
-func runSoak(t *testing.T, binary, dir string, seed uint64, of size) (*report.Report, []string) {
+// run is one soak.
+type run struct {
+	binary, dir string
+	seed        uint64
+	size        size
+	plan        schedule
+	// sabotage breaks a promise on purpose; nil breaks none.
+	sabotage func(h *hands)
+}
+
+// runSoak returns the report of a soak and the promises that were broken.
+func runSoak(t *testing.T, r run) (*report.Report, []string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	config, err := fleet.Load("../../examples/commons")
 	qt.Assert(t, err, qt.IsNil)
-	plan := draw(seed, of)
+	of, plan := r.size, r.plan
 	calls := int(of.lasts.Seconds()) * of.perSecond
 	recorded, err := trace.Generate(trace.GenerateOptions{
-		Deployment: "commons", Seed: seed, Entries: calls, Faults: plan.trace, Outcome: trace.Outcome{RefusedShare: refusedShare},
+		Deployment: "commons", Seed: r.seed, Entries: calls, Faults: plan.trace, Outcome: trace.Outcome{RefusedShare: refusedShare},
 	})
 	qt.Assert(t, err, qt.IsNil)
 	spread(recorded.Entries, of.lasts)
 
 	network := newNetwork()
 	defer network.close()
-	nodes := newProcesses(binary, dir, network)
+	nodes := newProcesses(r.binary, r.dir, network)
 	defer nodes.killAll()
 	watch := newConfigWatch(nodes)
-	events, err := os.Create(filepath.Join(dir, "events.log"))
+	events, err := os.Create(filepath.Join(r.dir, "events.log"))
 	qt.Assert(t, err, qt.IsNil)
 	defer events.Close()
 	var mu sync.Mutex
@@ -129,19 +140,22 @@
 	made, err := play.Run(ctx, play.Options{
 		Trace: recorded, Network: network,
 		System: dev.Options{
-			Config: config, Nodes: of.nodes, Engines: of.engines, Plains: of.plains, Seed: seed,
+			Config: config, Nodes: of.nodes, Engines: of.engines, Plains: of.plains, Seed: r.seed,
 			Prefix: fmt.Sprintf("127.%d", 64+os.Getpid()%128), Runner: nodes, Reach: network.reach,
 		},
 		OnFault: tell,
 		OnStart: func(system *dev.System) {
 			hands := &hands{network: network, processes: nodes, system: system, watch: watch, tell: tell}
+			if r.sabotage != nil {
+				r.sabotage(hands)
+			}
 			own.Go(func() { hands.run(ctx, plan.events) })
 			own.Go(func() { watch.run(ctx, of.nodes) })
 		},
 	})
 	cancel()
 	own.Wait()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("logs in %s", dir))
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("logs in %s", r.dir))
 	broken := append(made.Broken, nodes.faults()...)
 	return made, append(broken, watch.breaches()...)
 }
