--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # soak runs the program as processes with faults from outside; SOAK_SEED is the first seed, SOAK_SEEDS their number.
 SOAK_SEEDS ?= 1
-export SOAK_SEED SOAK_SECONDS SOAK_NODES SOAK_FAILED
+export SOAK_SEED SOAK_SECONDS SOAK_NODES SOAK_FAULTS SOAK_FAILED
 soak:
 	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^TestSoak$$' -v
 
--- a/internal/billing/hold.go
+++ b/internal/billing/hold.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// holdTries is how many peers are asked for one batch.
-	holdTries = 2
+	// holdTries is how many peers are asked for one batch: three may be out of reach for different reasons at once. An answer's end
+	// waits for at most that many times the HoldTimeout, 1 s by default.
+	holdTries = 4
 	// holdPause is how long no peer is asked after all of them failed.
 	holdPause = time.Second
 	// peerCheckInterval is how often the peer of a node without new lines is looked after.
@@ -86,6 +87,7 @@
 	b.mu.Unlock()
 	if !b.hold(ctx) {
 		b.unprotected.Add(int64(len(group)))
+		b.opts.Log.WithField("lines", len(group)).Warn("answers ended before a peer held their bills")
 	}
 	for _, w := range group {
 		close(w.safe)
--- a/internal/billing/hold_test.go
+++ b/internal/billing/hold_test.go
@@ -37,3 +37,18 @@
 		}
 	})
 }
+
+// TestThreePeersThatDoNotAnswerCostNoLine has the calls to three of four peers fail, as where one stands still, one is cut off and one
+// dies, and then ends the node itself: the fourth holds the line (soak seed 3041: a call that was never billed).
+func TestThreePeersThatDoNotAnswerCostNoLine(t *testing.T) {
+	inBubble(t, 5, func(s *system) {
+		s.mu.Lock()
+		s.failHold = 3
+		s.mu.Unlock()
+		s.Assert(s.nodes[0].biller.Add(context.Background(), line(1)), qt.IsNil)
+		s.Assert(s.nodes[0].biller.Stats().Unprotected, qt.Equals, int64(0))
+		s.restart(0)
+		time.Sleep(time.Minute)
+		s.Assert(s.billed(), qt.HasLen, 1)
+	})
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,13 +52,18 @@
 
 // failedOnce holds the seeds that ever broke a promise, with the size that they had and the cause.
 var failedOnce = []struct {
-	seed  uint64
-	lasts time.Duration
-	cause string
+	seed   uint64
+	nodes  int
+	faults float64
+	cause  string
 }{
-	{111, 20 * time.Second, "requests were forwarded over kept connections that had gone silent"},
+	{111, 4, 1, "requests were forwarded over kept connections that had gone silent"},
+	{3041, 5, 3, "a call was not billed: a node that died had asked two peers alone to hold its bills"},
 }
 
+// failedLasts is how long the calls of the seeds that failed arrive.
+const failedLasts = 20 * time.Second
+
 // TestSoak runs the seeds that the environment names; none without it, since it needs the machine for itself.
 func TestSoak(t *testing.T) {
 	seeds := envInt("SOAK_SEEDS", 0)
@@ -68,6 +73,7 @@
 	of := usual
 	of.lasts = time.Duration(envInt("SOAK_SECONDS", int(of.lasts/time.Second))) * time.Second
 	of.nodes = envInt("SOAK_NODES", of.nodes)
+	of.faults = float64(envInt("SOAK_FAULTS", int(of.faults)))
 	binary := build(t)
 	first := envInt("SOAK_SEED", 1)
 	for seed := first; seed < first+seeds; seed++ {
@@ -77,7 +83,7 @@
 		return
 	}
 	for _, failed := range failedOnce {
-		of.lasts = failed.lasts
+		of.lasts, of.nodes, of.faults = failedLasts, failed.nodes, failed.faults
 		t.Run(failed.cause, func(t *testing.T) { soak(t, binary, failed.seed, of) })
 	}
 }
@@ -157,6 +163,9 @@
 	own.Wait()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("logs in %s", r.dir))
 	broken := append(made.Broken, nodes.faults()...)
+	if unbilled := made.Verdict.Unbilled; unbilled > 0 {
+		broken = append(broken, fmt.Sprintf("Unbilled: %d answered calls", unbilled))
+	}
 	return made, append(broken, watch.breaches()...)
 }
 
