--- a/internal/eventlog/handler_test.go
+++ b/internal/eventlog/handler_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -123,3 +124,17 @@
 		qt.Check(t, lines.Entries[1].Fields, qt.DeepEquals, log.Fields{"dependency": "vm-list", "out_for": "3s", "failures": 3})
 	})
 }
+
+// BenchmarkLine logs a line as long as that of an attempt.
+func BenchmarkLine(b *testing.B) {
+	h := New(Options{Output: io.Discard, LinesPerSecond: 1e9})
+	defer h.Close()
+	logger := (&log.Logger{Handler: h}).WithFields(log.Fields{"node": "node-1", "incarnation": "6e248ef06b24de04"})
+	b.ReportAllocs()
+	for b.Loop() {
+		logger.WithField("request", "node-1.6e248ef06b24de04.1").WithFields(log.Fields{
+			"attempt": 1, "version": "scholar@2.0", "server": "tutor-llm-4", "reason": "Cheapest", "revision": 1,
+			"report_age": "1.139s", "in_flight": 1, "guarded": false, "tried": 0,
+		}).Info("attempt begun")
+	}
+}
