--- a/internal/cmd/trace.go
+++ b/internal/cmd/trace.go
@@ -34,7 +34,11 @@
 
 // Execute implements flags.Commander.
 func (o *traceMakeOptions) Execute([]string) error {
-	made, err := trace.Generate(trace.GenerateOptions{Deployment: o.Deployment, Seed: o.Seed, Entries: o.Entries})
+	deployment, err := trace.FindDeployment(o.Deployment)
+	if err != nil {
+		return &usageError{cause: err}
+	}
+	made, err := trace.Generate(trace.GenerateOptions{Deployment: deployment, Seed: o.Seed, Entries: o.Entries})
 	if err != nil {
 		return &usageError{cause: err}
 	}
--- a/internal/copier/copier.go
+++ b/internal/copier/copier.go
@@ -58,7 +58,7 @@
 // Guard keeps requests that crash servers from crashing many.
 type Guard interface {
 	Judge(f poison.Fingerprint, now time.Time) (poison.Verdict, time.Duration)
-	Begin(server api.ServerID, f poison.Fingerprint) (end func())
+	Begin(server api.ServerID, f poison.Fingerprint, now time.Time) (end func())
 }
 
 // Options configures New.
@@ -155,7 +155,7 @@
 		return
 	}
 	defer server.Acquire()()
-	defer c.opts.Guard.Begin(server.ID, run.original.Fingerprint)()
+	defer c.opts.Guard.Begin(server.ID, run.original.Fingerprint, time.Now())()
 	began := time.Now()
 	text, err := c.generate(ctx, run, server)
 	switch {
--- a/internal/copier/copier_test.go
+++ b/internal/copier/copier_test.go
@@ -180,7 +180,7 @@
 		"no server":   func(b *bed) { b.copier.opts.Registry.Update(nil) },
 		"leaving":     func(b *bed) { b.engine.Leave(true) },
 		"suspected": func(b *bed) {
-			end := b.guard.Begin("s9", original("q1").Fingerprint)
+			end := b.guard.Begin("s9", original("q1").Fingerprint, time.Now())
 			b.guard.Crashed("s9", time.Now())
 			end()
 		},
--- a/internal/dev/deaths_test.go
+++ b/internal/dev/deaths_test.go
@@ -1,6 +1,7 @@
 package dev_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonrail/monsoonrail/internal/dev"
+	"github.com/monsoonrail/monsoonrail/internal/fake/script"
+
 	qt "github.com/frankban/quicktest"
 )
 
@@ -55,3 +59,35 @@
 		qt.Check(t, refused <= 2, qt.IsTrue, qt.Commentf("%d refused", refused))
 	})
 }
+
+// TestStreamsOutlastAPoisonRequest lets one request crash two servers of a small pool, beside streams that have run for a while on
+// all of them: none may be taken for it because it went on where the request came next.
+func TestStreamsOutlastAPoisonRequest(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, func(o *dev.Options) { o.Engines, o.EngineSpeed, o.Seed = 5, 20, seed })
+				defer b.close()
+				results := b.streamsThrough(3, 24, func() {
+					time.Sleep(time.Second)
+					poison := chatBody(false, script.Prompt{Call: fmt.Sprint("poison", seed), Crash: true})
+					for i := range 4 {
+						b.do(http.MethodPost, b.system.NodeURL(i%b.system.Nodes())+chatPath, nil, poison)
+						time.Sleep(500 * time.Millisecond)
+					}
+				})
+				down := 0
+				for _, engine := range b.system.Engines() {
+					if engine.IsDown() {
+						down++
+					}
+				}
+				qt.Check(t, down, qt.Equals, 2)
+				for i, result := range results {
+					qt.Check(t, result.whole(), qt.IsTrue, qt.Commentf("caller %d after %s: %s", i, result.took, tail(result.body)))
+				}
+				t.Logf("slowest answer after %s", longest(results))
+			})
+		})
+	}
+}
--- a/internal/dev/servers.go
+++ b/internal/dev/servers.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	// baseSpeed is the tokens per second of the slowest engine.
-	baseSpeed = 80
-	// speedSteps is how many unlike speeds engines have, each half of baseSpeed faster than the last.
+	// defaultEngineSpeed is the tokens per second of the slowest engine.
+	defaultEngineSpeed = 80
+	// defaultEngineSlots is how many requests an engine works on at once.
+	defaultEngineSlots = 16
+	// speedSteps is how many unlike speeds engines have, each half of the slowest's faster than the last.
 	speedSteps = 4
-	// prefillSpeed is the prompt tokens per second of each engine.
-	prefillSpeed = 8000
+	// prefillFactor is how many prompt tokens an engine reads in the time of one answer token of the slowest.
+	prefillFactor = 100
 	// loadLag is the age of load reports.
 	loadLag = 500 * time.Millisecond
 	// plainLatency is the time of a plain call.
@@ -52,9 +54,9 @@
 		listed := s.list(service.Name, hostEngine, n)
 		conns := newOpenConns()
 		server := enginefake.New(enginefake.Options{
-			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Slots: 16,
-			TokensPerSecond: baseSpeed * (1 + float64(n%speedSteps)/2), BatchSlowdown: 0.3,
-			PrefillTokensPerSecond: prefillSpeed, Versions: s.engineVersions(service, n),
+			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Slots: s.opts.EngineSlots,
+			TokensPerSecond: s.opts.EngineSpeed * (1 + float64(n%speedSteps)/2), BatchSlowdown: 0.3,
+			PrefillTokensPerSecond: s.opts.EngineSpeed * prefillFactor, Versions: s.engineVersions(service, n),
 			LoadLag: loadLag, EventLag: loadLag, EventGaps: 0.05, ChecksFencing: service.ChecksFencing, OnDown: conns.closeAll,
 		})
 		s.engines = append(s.engines, &serverSlot[*enginefake.Engine]{listed: listed, server: server})
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -74,6 +74,10 @@
 	// Engines and Plains are the numbers of servers of each engine and each plain service; 0 means 6 and 2.
 	Engines int
 	Plains  int
+	// EngineSpeed is that of the slowest engine in tokens a second, the fastest has two and a half times as much; 0 means 80.
+	EngineSpeed float64
+	// EngineSlots is how many requests an engine works on at once; 0 means 16.
+	EngineSlots int
 	// Holds tells which versions an engine has loaded, by its place; nil has each hold all of its service.
 	Holds func(engine int, version api.VersionID) bool
 	// Seed decides everything random.
@@ -160,6 +164,12 @@
 	if o.Plains == 0 {
 		o.Plains = 2
 	}
+	if o.EngineSpeed == 0 {
+		o.EngineSpeed = defaultEngineSpeed
+	}
+	if o.EngineSlots == 0 {
+		o.EngineSlots = defaultEngineSlots
+	}
 	if o.DrainTimeout == 0 {
 		o.DrainTimeout = time.Minute
 	}
--- a/internal/fake/enginefake/engine.go
+++ b/internal/fake/enginefake/engine.go
@@ -146,6 +146,7 @@
 }
 
 func (e *Engine) kill() {
+	e.noteDeath()
 	e.down = true
 	e.endLife()
 }
--- a/internal/fake/enginefake/runs.go
+++ b/internal/fake/enginefake/runs.go
@@ -23,7 +23,9 @@
 	// BodyArrived tells that a byte of the request's body was read.
 	BodyArrived bool
 	// Began tells that the engine accepted the work.
-	Began   bool
+	Began bool
+	// Died tells that the engine was killed, or crashed, before the run's end.
+	Died    bool
 	Version api.VersionID
 }
 
@@ -34,6 +36,16 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// noteDeath marks the runs that have not ended as the engine's life does.
+func (e *Engine) noteDeath() {
+	for i := range e.runs {
+		run := &e.runs[i]
+		if g, ok := e.generations[run.RequestID]; ok && g.attempt == run.Attempt && !g.ended {
+			run.Died = run.Began
+		}
+	}
+}
+
 // noteArrival records a request of which headers have arrived.
 func (e *Engine) noteArrival(id api.RequestID, body []byte) {
 	attempt := 1
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -16,21 +16,29 @@
 type Guard struct {
 	mu    sync.Mutex
 	guard *poison.Guard
-	// running counts this node's runs of each fingerprint on each server.
-	running map[api.ServerID]map[poison.Fingerprint]int
+	// running holds this node's runs of each fingerprint on each server.
+	running map[api.ServerID]map[poison.Fingerprint]runs
 	// down holds when servers died that haven't answered since; after poison.ReleaseAfter they are forgotten.
 	down map[api.ServerID]time.Time
 	// changed is called, without locks held, when the peers must be told.
 	changed func()
 }
 
+// runs are those of one fingerprint on one server.
+type runs struct {
+	// count is at least 1.
+	count int
+	// last is when the last began.
+	last time.Time
+}
+
 // New returns a guard; changed may be nil.
 func New(now time.Time, changed func()) *Guard {
 	if changed == nil {
 		changed = func() {}
 	}
 	return &Guard{
-		guard: poison.NewGuard(now), running: make(map[api.ServerID]map[poison.Fingerprint]int),
+		guard: poison.NewGuard(now), running: make(map[api.ServerID]map[poison.Fingerprint]runs),
 		down: make(map[api.ServerID]time.Time), changed: changed,
 	}
 }
@@ -49,6 +57,13 @@
 	return g.guard.Place(f, pool, now)
 }
 
+// HearsPeers reports whether the news of all peers came a moment ago.
+func (g *Guard) HearsPeers(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.HearsPeers(now)
+}
+
 // RetryAfter returns when a request for which Place found no server has a chance again.
 func (g *Guard) RetryAfter(f poison.Fingerprint, now time.Time) time.Duration {
 	g.mu.Lock()
@@ -57,21 +72,23 @@
 }
 
 // Begin notes that a request runs on a server, until the function that it returns is called.
-func (g *Guard) Begin(server api.ServerID, f poison.Fingerprint) (end func()) {
+func (g *Guard) Begin(server api.ServerID, f poison.Fingerprint, now time.Time) (end func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.running[server] == nil {
-		g.running[server] = make(map[poison.Fingerprint]int)
+		g.running[server] = make(map[poison.Fingerprint]runs)
 	}
-	g.running[server][f]++
+	g.running[server][f] = runs{count: g.running[server][f].count + 1, last: now}
 	return func() { g.end(server, f) }
 }
 
 func (g *Guard) end(server api.ServerID, f poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running[server][f]--
-	if g.running[server][f] <= 0 {
+	left := g.running[server][f]
+	left.count--
+	g.running[server][f] = left
+	if left.count <= 0 {
 		delete(g.running[server], f)
 	}
 	if len(g.running[server]) == 0 {
@@ -82,7 +99,10 @@
 // Crashed notes that a server died while it ran what Begin was called for. It reports whether the death was not known yet.
 func (g *Guard) Crashed(server api.ServerID, now time.Time) (isNew bool) {
 	g.mu.Lock()
-	running := slices.Sorted(maps.Keys(g.running[server]))
+	var running []poison.Run
+	for _, f := range slices.Sorted(maps.Keys(g.running[server])) {
+		running = append(running, poison.Run{Fingerprint: f, Since: g.running[server][f].last})
+	}
 	at, isNew := g.noteDown(server, now)
 	g.guard.Crashed(server, running, at)
 	g.mu.Unlock()
@@ -90,6 +110,22 @@
 	return isNew
 }
 
+// Lost notes that a server no longer holds a request that it ran and reports whether it died meanwhile: one that is back at once
+// answers as if it had only given the request up.
+func (g *Guard) Lost(server api.ServerID, f poison.Fingerprint) (died bool) {
+	g.mu.Lock()
+	run := poison.Run{Fingerprint: f, Since: g.running[server][f].last}
+	at, died := g.guard.DeathSince(server, run.Since)
+	if died {
+		g.guard.Crashed(server, []poison.Run{run}, at)
+	}
+	g.mu.Unlock()
+	if died {
+		g.changed()
+	}
+	return died
+}
+
 // Died notes that a server died, whether or not it ran requests of this node. It reports whether the death was not known yet.
 func (g *Guard) Died(server api.ServerID, now time.Time) (isNew bool) {
 	g.mu.Lock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -18,11 +18,11 @@
 	own, peer := guard.New(now, func() { told++ }), guard.New(now, nil)
 	running, twice, ended, elsewhere := poison.FingerprintOf([]byte("a")), poison.FingerprintOf([]byte("b")),
 		poison.FingerprintOf([]byte("c")), poison.FingerprintOf([]byte("d"))
-	own.Begin("s1", running)
-	own.Begin("s1", twice)()
-	endTwice := own.Begin("s1", twice)
-	own.Begin("s1", ended)()
-	own.Begin("s2", elsewhere)
+	own.Begin("s1", running, now)
+	own.Begin("s1", twice, now)()
+	endTwice := own.Begin("s1", twice, now)
+	own.Begin("s1", ended, now)()
+	own.Begin("s2", elsewhere, now)
 	own.Crashed("s1", now)
 	qt.Check(t, told, qt.Equals, 1)
 	own.Heard(now)
@@ -38,7 +38,7 @@
 	}
 	endTwice()
 	own.Crashed("s1", now)
-	own.Begin("s2", running)
+	own.Begin("s2", running, now)
 	own.Crashed("s2", now)
 	verdict, after := own.Judge(running, now)
 	qt.Check(t, verdict, qt.Equals, poison.VerdictRefused)
@@ -77,7 +77,7 @@
 		begin := now.Add(time.Second)
 		later := begin.Add(200 * time.Millisecond)
 		for _, g := range []*guard.Guard{once, twice} {
-			defer g.Begin("a", f)()
+			defer g.Begin("a", f, begin)()
 		}
 		once.Crashed("a", begin)
 		once.Died("b", begin)
@@ -90,3 +90,24 @@
 		qt.Assert(t, placed, qt.Equals, want)
 	}
 }
+
+// TestRequestLostByAServerThatIsBack suspects a request whose server died and was back before the request's next connection.
+func TestRequestLostByAServerThatIsBack(t *testing.T) {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	told := 0
+	g := guard.New(now, func() { told++ })
+	early, late := poison.FingerprintOf([]byte("early")), poison.FingerprintOf([]byte("late"))
+	g.Begin("s1", early, now)
+	g.Died("s1", now.Add(time.Second))
+	g.Answered("s1")
+	g.Begin("s1", late, now.Add(2*time.Second))
+	g.Heard(now.Add(time.Minute))
+	qt.Check(t, g.Lost("s1", late), qt.IsFalse, qt.Commentf("it began after the death"))
+	qt.Check(t, told, qt.Equals, 0)
+	qt.Check(t, g.Lost("s1", early), qt.IsTrue)
+	qt.Check(t, told, qt.Equals, 1)
+	verdict, _ := g.Judge(early, now.Add(time.Minute))
+	qt.Check(t, verdict, qt.Equals, poison.VerdictGuarded)
+	verdict, _ = g.Judge(late, now.Add(time.Minute))
+	qt.Check(t, verdict, qt.Equals, poison.VerdictFree)
+}
--- a/internal/oracle/oracle.go
+++ b/internal/oracle/oracle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/load"
+	"github.com/monsoonrail/monsoonrail/internal/poison"
 	"github.com/monsoonrail/monsoonrail/internal/trace"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -22,6 +23,8 @@
 	Version api.VersionID
 	// Began tells that the server took the work on; a run that was refused didn't begin.
 	Began bool
+	// Died tells that the server died before the run's end.
+	Died bool
 }
 
 // Billed is what a team was billed for a service.
@@ -64,7 +67,10 @@
 	// Lost counts calls that ended with neither an answer nor a refusal.
 	Lost int
 	// Cut counts answers that ended early, RepeatedText those that held a part twice, Wrong those of another call.
-	Cut          int
+	Cut int
+	// Barred counts those that ended early since two servers had died while they ran the call, which may have been its doing; they
+	// are not among Cut.
+	Barred       int
 	RepeatedText int
 	Wrong        int
 	// DoubleRuns counts calls that may run once only and ran more often.
@@ -119,7 +125,11 @@
 	}
 	switch result.Text {
 	case load.TextCut:
-		j.broken(&v.Cut, "cut", result)
+		if j.isBarred(result) {
+			v.Barred++
+		} else {
+			j.broken(&v.Cut, "cut", result)
+		}
 	case load.TextRepeated:
 		j.broken(&v.RepeatedText, "repeated text", result)
 	case load.TextWrong:
@@ -129,6 +139,17 @@
 	j.session(result)
 }
 
+// isBarred reports whether as many servers died while they ran a call as one request may crash.
+func (j *judge) isBarred(result *load.Result) bool {
+	died := make(map[api.ServerID]bool)
+	for _, run := range j.runs[result.Call] {
+		if run.Died {
+			died[run.Server] = true
+		}
+	}
+	return result.Reason == api.ReasonPoison && len(died) >= poison.MaxCrashes
+}
+
 // callRuns judges a call by its runs on the servers.
 func (j *judge) callRuns(result *load.Result) {
 	runs := j.runs[result.Call]
--- a/internal/oracle/oracle_test.go
+++ b/internal/oracle/oracle_test.go
@@ -28,6 +28,18 @@
 		}, nil},
 		{"lost", Seen{Results: []load.Result{{Call: "c", Entry: once}}}, []string{"Lost: 1, at most 0"}},
 		{"cut", Seen{Results: []load.Result{{Call: "c", Answered: true, Text: load.TextCut}}}, []string{"Cut: 1, at most 0"}},
+		{"cut after two servers died", Seen{
+			Results: []load.Result{
+				{Call: "c", Text: load.TextCut, Outcome: api.OutcomeMayHaveRun, Reason: api.ReasonPoison}, {Answered: true}, {Answered: true},
+			},
+			Runs: []Run{{Call: "c", Server: "a", Began: true, Died: true}, {Call: "c", Server: "b", Began: true, Died: true}},
+		}, nil},
+		{"cut after one server died twice", Seen{
+			Results: []load.Result{
+				{Call: "c", Text: load.TextCut, Outcome: api.OutcomeMayHaveRun, Reason: api.ReasonPoison}, {Answered: true}, {Answered: true},
+			},
+			Runs: []Run{{Call: "c", Server: "a", Began: true, Died: true}, {Call: "c", Server: "a", Began: true, Died: true}},
+		}, []string{"Cut: 1, at most 0"}},
 		{"repeated", Seen{Results: []load.Result{{Answered: true, Text: load.TextRepeated}}}, []string{"RepeatedText: 1, at most 0"}},
 		{"wrong", Seen{Results: []load.Result{{Answered: true, Text: load.TextWrong}}}, []string{"Wrong: 1, at most 0"}},
 		{"double run", Seen{
--- a/internal/play/play_test.go
+++ b/internal/play/play_test.go
@@ -144,8 +144,10 @@
 // make returns the trace that a file holds.
 func (f traceFile) make(t *testing.T) *trace.Trace {
 	t.Helper()
+	deployment, err := trace.FindDeployment(f.deployment)
+	qt.Assert(t, err, qt.IsNil)
 	made, err := trace.Generate(trace.GenerateOptions{
-		Deployment: f.deployment, Seed: f.seed, Entries: f.entries, Faults: f.faults,
+		Deployment: deployment, Seed: f.seed, Entries: f.entries, Faults: f.faults,
 		Outcome: trace.Outcome{RefusedShare: f.refused, Exposure: f.exposure},
 	})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -48,10 +48,13 @@
 	return VerdictFree, 0
 }
 
+// HearsPeers reports whether the news of all peers came a moment ago.
+func (g *Guard) HearsPeers(now time.Time) bool { return now.Sub(g.heard) <= HeardWithin }
+
 // IsAlarmed reports whether a request that a peer knows to be poison might come unrecognized: a server died lately,
 // or the peers haven't been heard for a while.
 func (g *Guard) IsAlarmed(now time.Time) bool {
-	if age := now.Sub(g.heard); age > HeardWithin && age < AlarmFor {
+	if !g.HearsPeers(now) && now.Sub(g.heard) < AlarmFor {
 		return true
 	}
 	for _, died := range g.deaths {
@@ -64,9 +67,60 @@
 
 // Place returns the one server on which a guarded request may run, out of all servers of its pool: the first in an order
 // that depends on the fingerprint alone, without the server that died first, those that another cause ended, as long as
-// there are others, and those that leave: if a peer sends the request to one of them still, it doesn't run there. It returns false while the request may have crashed two servers: one of those in question has died, and the peers' news of that
-// time aren't all there.
+// there are others, and those that leave: if a peer sends the request to one of them still, it doesn't run there.
+//
+// It returns false while the request may have crashed two servers, that is while one of those in question has died and the peers'
+// news of that time aren't all there, and while it lets others go first.
 func (g *Guard) Place(f Fingerprint, pool []Member, now time.Time) (api.ServerID, bool) {
+	place, ok := g.place(f, pool, now)
+	if !ok || g.yields(f, place, pool, now) {
+		return "", false
+	}
+	return place, true
+}
+
+// yields reports whether a request lets others go first to its place. Of those that ran on a server which died, the one that
+// crashed it has most likely only just come there. If it crashes its place too, those that let it go first weren't there.
+func (g *Guard) yields(f Fingerprint, place api.ServerID, pool []Member, now time.Time) bool {
+	crash, ok := g.lastCrash(f, now)
+	since := now.Sub(crash.At)
+	if !ok || crash.Young || since >= yieldFor {
+		return false
+	}
+	if since < newsWithin {
+		return true
+	}
+	for other := range g.suspects {
+		last, ok := g.lastCrash(other, now)
+		if !ok || !last.Young || last.Server != crash.Server || last.At.Sub(crash.At).Abs() > clockSkew {
+			continue
+		}
+		if crashes, _ := g.suspects[other].count(now); crashes >= MaxCrashes {
+			continue
+		}
+		if next, ok := g.place(other, pool, now); ok && next == place {
+			return true
+		}
+	}
+	return false
+}
+
+// lastCrash returns the last crash that speaks against a fingerprint.
+func (g *Guard) lastCrash(f Fingerprint, now time.Time) (last Crash, ok bool) {
+	suspect, ok := g.suspects[f]
+	if !ok {
+		return Crash{}, false
+	}
+	for _, crash := range suspect.Crashes {
+		if suspect.counts(crash, now) && crash.At.After(last.At) {
+			last = crash
+		}
+	}
+	return last, last.Server != ""
+}
+
+// place is Place for a request that lets nobody go first.
+func (g *Guard) place(f Fingerprint, pool []Member, now time.Time) (api.ServerID, bool) {
 	first := g.firstDeath(f, pool, now)
 	var place, passedOver api.ServerID
 	for member := range inOrder(f, pool) {
@@ -164,14 +218,24 @@
 	}
 }
 
+// DeathSince returns when a server last died, if that was not before a time.
+func (g *Guard) DeathSince(server api.ServerID, since time.Time) (at time.Time, ok bool) {
+	died, ok := g.deaths[server]
+	if !ok || died.last().Before(since) {
+		return time.Time{}, false
+	}
+	return died.last(), true
+}
+
 // Crashed notes that a server died while it ran requests of this node. It returns the suspicions, which the caller
 // sends to all peers before it answers the requests' callers.
-func (g *Guard) Crashed(server api.ServerID, running []Fingerprint, now time.Time) []Suspicion {
+func (g *Guard) Crashed(server api.ServerID, running []Run, now time.Time) []Suspicion {
 	g.Died(server, now)
 	var told []Suspicion
-	for _, f := range running {
+	for _, run := range running {
+		f := run.Fingerprint
 		suspect := g.suspect(f)
-		suspect.add(Crash{Server: server, At: now})
+		suspect.add(Crash{Server: server, At: now, Young: now.Sub(run.Since) <= youngAge})
 		delete(g.harmless, f)
 		delete(g.older, f)
 		told = append(told, suspect.clone())
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -13,6 +13,15 @@
 
 var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
 
+// runsOf returns runs that have only just begun, whatever the time.
+func runsOf(fingerprints ...Fingerprint) []Run {
+	var runs []Run
+	for _, f := range fingerprints {
+		runs = append(runs, Run{Fingerprint: f, Since: start.Add(time.Hour)})
+	}
+	return runs
+}
+
 func poolOf(servers ...api.ServerID) []Member {
 	var pool []Member
 	for _, server := range servers {
@@ -103,7 +112,7 @@
 	}
 	f.crashes++
 	f.die(server)
-	told := guard.Crashed(server, []Fingerprint{poison}, f.at(node))
+	told := guard.Crashed(server, runsOf(poison), f.at(node))
 	for j, peer := range f.guards {
 		if !f.cut[node][j] {
 			peer.Merge(told)
@@ -172,7 +181,7 @@
 	const innocent Fingerprint = 7
 	pool := poolOf("a", "b", "c", "d")
 	guard := NewGuard(start)
-	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	guard.Crashed("a", runsOf(innocent), start.Add(time.Millisecond))
 	next, ok := guard.Place(innocent, pool, start.Add(time.Millisecond))
 	qt.Assert(t, ok, qt.IsTrue)
 	guard.Died(next, start.Add(2*time.Millisecond))
@@ -186,7 +195,7 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, placed != next && placed != "a", qt.IsTrue)
 
-	guard.Crashed(placed, []Fingerprint{innocent}, now)
+	guard.Crashed(placed, runsOf(innocent), now)
 	verdict, _ := guard.Judge(innocent, now)
 	qt.Assert(t, verdict, qt.Equals, VerdictRefused)
 }
@@ -195,7 +204,7 @@
 func TestPlaceInSmallPool(t *testing.T) {
 	const innocent Fingerprint = 7
 	guard := NewGuard(start)
-	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	guard.Crashed("a", runsOf(innocent), start.Add(time.Millisecond))
 	guard.Died("b", start.Add(time.Millisecond))
 	now := start.Add(NoticeWithin + time.Second)
 	guard.Heard(now)
@@ -208,7 +217,7 @@
 func TestPlaceIsNotALeavingServer(t *testing.T) {
 	const innocent Fingerprint = 7
 	guard := NewGuard(start)
-	guard.Crashed("a", []Fingerprint{innocent}, start.Add(time.Millisecond))
+	guard.Crashed("a", runsOf(innocent), start.Add(time.Millisecond))
 	pool := poolOf("a", "b", "c")
 	for range 2 {
 		placed, ok := guard.Place(innocent, pool, start.Add(time.Second))
@@ -226,7 +235,7 @@
 func TestInnocentIsReleased(t *testing.T) {
 	const innocent Fingerprint = 7
 	guard := NewGuard(start)
-	guard.Crashed("a", []Fingerprint{innocent}, start)
+	guard.Crashed("a", runsOf(innocent), start)
 	verdict, _ := guard.Judge(innocent, start)
 	qt.Assert(t, verdict, qt.Equals, VerdictGuarded)
 	_, cleared := guard.Finished(innocent, start.Add(time.Second))
@@ -236,8 +245,8 @@
 	qt.Assert(t, verdict, qt.Equals, VerdictFree)
 
 	later := start.Add(time.Minute)
-	guard.Crashed("a", []Fingerprint{innocent}, later)
-	guard.Crashed("b", []Fingerprint{innocent}, later.Add(time.Second))
+	guard.Crashed("a", runsOf(innocent), later)
+	guard.Crashed("b", runsOf(innocent), later.Add(time.Second))
 	verdict, after := guard.Judge(innocent, later.Add(2*time.Second))
 	qt.Assert(t, verdict, qt.Equals, VerdictRefused)
 	qt.Assert(t, after, qt.Equals, ReleaseAfter-time.Second)
@@ -270,7 +279,66 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	guard := NewGuard(start)
 	for i := range MaxSuspects + 10 {
-		guard.Crashed("a", []Fingerprint{Fingerprint(i)}, start.Add(time.Duration(i)*time.Millisecond))
+		guard.Crashed("a", runsOf(Fingerprint(i)), start.Add(time.Duration(i)*time.Millisecond))
 	}
 	qt.Assert(t, len(guard.Suspicions(start.Add(time.Minute))), qt.Equals, MaxSuspects)
 }
+
+// TestLongRunsYieldToWhatHadOnlyJustCome lets a server die under a request that had run there for long and one that had only just
+// come, which have the same place: the first waits until the second has run there, and goes elsewhere if that server dies too.
+func TestLongRunsYieldToWhatHadOnlyJustCome(t *testing.T) {
+	pool := poolOf("a", "b", "c", "d")
+	placeOf := func(f Fingerprint) api.ServerID {
+		for member := range inOrder(f, pool) {
+			if member.Server != "a" {
+				return member.Server
+			}
+		}
+		return ""
+	}
+	poison := Fingerprint(1)
+	var sharing, elsewhere Fingerprint
+	for f := Fingerprint(2); sharing == 0 || elsewhere == 0; f++ {
+		if placeOf(f) == placeOf(poison) {
+			sharing = f
+		} else {
+			elsewhere = f
+		}
+	}
+	died := start.Add(time.Minute)
+	crashed := func() (own, peer *Guard) {
+		own, peer = NewGuard(died), NewGuard(died)
+		own.Crashed("a", []Run{{sharing, start}, {elsewhere, start}}, died)
+		told := peer.Crashed("a", []Run{{poison, died.Add(-time.Millisecond)}}, died)
+		own.Merge(told)
+		own.Heard(died.Add(time.Millisecond))
+		return own, peer
+	}
+	place := func(g *Guard, f Fingerprint, after time.Duration) api.ServerID {
+		placed, _ := g.Place(f, pool, died.Add(after))
+		return placed
+	}
+
+	own, peer := crashed()
+	qt.Check(t, place(peer, poison, 0), qt.Equals, placeOf(poison), qt.Commentf("what had only just come goes first"))
+	for _, f := range []Fingerprint{sharing, elsewhere} {
+		qt.Check(t, place(own, f, newsWithin-1), qt.Equals, api.ServerID(""), qt.Commentf("the peers' news may be under way"))
+	}
+	qt.Check(t, place(own, elsewhere, newsWithin), qt.Equals, placeOf(elsewhere))
+	qt.Check(t, place(own, sharing, newsWithin), qt.Equals, api.ServerID(""))
+	qt.Check(t, place(own, sharing, yieldFor), qt.Equals, placeOf(sharing), qt.Commentf("no longer than yieldFor"))
+
+	cleared, _ := peer.Finished(poison, died.Add(time.Second))
+	own.Merge([]Suspicion{cleared})
+	qt.Check(t, place(own, sharing, time.Second), qt.Equals, placeOf(sharing), qt.Commentf("the other ran to its end"))
+
+	own, peer = crashed()
+	second := died.Add(600 * time.Millisecond)
+	own.Merge(peer.Crashed(placeOf(poison), []Run{{poison, second}}, second))
+	own.Died(placeOf(poison), second)
+	own.Heard(second.Add(NoticeWithin))
+	verdict, _ := own.Judge(sharing, second.Add(NoticeWithin))
+	qt.Check(t, verdict, qt.Equals, VerdictGuarded)
+	placed := place(own, sharing, 600*time.Millisecond+NoticeWithin)
+	qt.Check(t, placed != "" && placed != placeOf(poison), qt.IsTrue, qt.Commentf("placed on %q", placed))
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -51,6 +51,13 @@
 	clockSkew = 5 * time.Second
 	// HeardWithin is how old the peers' news may be before the node counts as cut off.
 	HeardWithin = 5 * time.Second
+	// youngAge is how long a server has run a request at most that counts as one which had only just come when it died. Within
+	// it engines take a prompt in.
+	youngAge = 500 * time.Millisecond
+	// newsWithin is when the news of a crash has come from the peers that aren't cut off.
+	newsWithin = 500 * time.Millisecond
+	// yieldFor is how long after a crash the requests that had run for a while let those go first that had only just come.
+	yieldFor = 3 * time.Second
 	// maxKeptCrashes bounds the crashes kept of one fingerprint; the latest stay.
 	maxKeptCrashes = 4
 	// MaxSuspects bounds the suspected fingerprints; over it the one whose last crash is oldest is forgotten.
@@ -63,6 +70,14 @@
 type Crash struct {
 	Server api.ServerID
 	At     time.Time
+	// Young tells that the request had only just come.
+	Young bool `json:",omitempty"`
+}
+
+// Run is a request that a server runs.
+type Run struct {
+	Fingerprint Fingerprint
+	Since       time.Time
 }
 
 // Suspicion is what is known against a fingerprint, as it travels between nodes.
--- a/internal/poison/suspicion.go
+++ b/internal/poison/suspicion.go
@@ -24,7 +24,7 @@
 	return crash.At.After(s.ClearedAt) && now.Sub(crash.At) < ReleaseAfter
 }
 
-// add notes a crash; of two of the same server the later stays.
+// add notes a crash; of two of the same server the later stays, of two of the same time one that is young.
 func (s *Suspicion) add(crash Crash) {
 	i, found := slices.BinarySearchFunc(s.Crashes, crash.Server, func(c Crash, id api.ServerID) int {
 		return cmp.Compare(c.Server, id)
@@ -33,8 +33,9 @@
 		s.Crashes = slices.Insert(s.Crashes, i, crash)
 		return
 	}
-	if crash.At.After(s.Crashes[i].At) {
-		s.Crashes[i] = crash
+	known := &s.Crashes[i]
+	if crash.At.After(known.At) || crash.At.Equal(known.At) && crash.Young {
+		*known = crash
 	}
 }
 
--- a/internal/report/table.go
+++ b/internal/report/table.go
@@ -40,6 +40,7 @@
 		{"repeated", orUnknown(v.HasRuns, v.Repeated)},
 		{"lost", v.Lost},
 		{"cut", v.Cut},
+		{"barred after two deaths", v.Barred},
 		{"repeated text", v.RepeatedText},
 		{"wrong text", v.Wrong},
 		{"double runs", orUnknown(v.HasRuns, v.DoubleRuns)},
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -194,7 +194,8 @@
 		c.endLate(ctx, gen, err)
 		return err
 	}
-	if isVersionFault(err) {
+	diedMeanwhile := ctx.Err() == nil && isGivenUp(err) && c.router.opts.Guard.Lost(to.server.ID, c.plan.suspect)
+	if isVersionFault(err) && !diedMeanwhile {
 		c.router.opts.Trials.Failed(c.answer.ID, to.version)
 	} else {
 		c.router.opts.Trials.Dropped(c.answer.ID, to.version)
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -102,17 +102,25 @@
 }
 
 // giveUpAt returns until when to wait for a server. A request whose caller has a part of the text already is not given up
-// before its end. One that ran on a server which died, and that the guard finds no place for, waits for the peers' news,
-// which come soon or not.
+// before its end, unless it has no place and this node hears too little of its peers to find one: another may know more.
 func (c *chatRun) giveUpAt(began time.Time, guarded bool) time.Time {
+	hasText := c.answer.Len() > 0
 	switch {
-	case guarded && c.handed:
+	case hasText && (!guarded || c.router.opts.Guard.HearsPeers(time.Now())):
+		return c.plan.end
+	case hasText:
 		return began.Add(noPlaceWait)
-	case c.answer.Len() == 0:
-		return began.Add(noServerWait)
 	default:
-		return c.plan.end
+		return began.Add(serverWait(guarded, c.handed))
+	}
+}
+
+// serverWait returns how long a request whose caller has nothing of the answer waits for a server.
+func serverWait(guarded, handed bool) time.Duration {
+	if guarded && handed {
+		return noPlaceWait
 	}
+	return noServerWait
 }
 
 func (c *chatRun) chooseNow(now time.Time) (target, *api.Problem) {
--- a/internal/router/generation.go
+++ b/internal/router/generation.go
@@ -68,7 +68,7 @@
 func (g *generation) enter() {
 	g.run.handed = true
 	if g.left == nil {
-		g.left = g.run.router.opts.Guard.Begin(g.to.server.ID, g.run.plan.suspect)
+		g.left = g.run.router.opts.Guard.Begin(g.to.server.ID, g.run.plan.suspect, time.Now())
 	}
 }
 
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -137,11 +137,11 @@
 }
 
 func (p *plainRun) choose(ctx context.Context) (*registry.Server, *api.Problem) {
-	giveUp := time.Now().Add(noServerWait)
+	began := time.Now()
 	for {
 		now := time.Now()
 		allowed, problem := p.router.permitFor(p.suspect, p.call.Service, p.handed, now)
-		if problem != nil && problem.Reason == api.ReasonNoServer && now.Before(giveUp) && sleep.For(ctx, retryWait) {
+		if problem != nil && problem.Reason == api.ReasonNoServer && now.Sub(began) < serverWait(allowed.guarded, p.handed) && sleep.For(ctx, retryWait) {
 			continue
 		}
 		if problem != nil {
@@ -161,7 +161,7 @@
 			i := p.router.opts.Servers.ChooseServer(ServerRequest{Service: p.call.Service, Priority: p.call.Priority, Now: now}, able)
 			return able[i], nil
 		}
-		if now.After(giveUp) {
+		if now.Sub(began) > serverWait(allowed.guarded, p.handed) {
 			problem := p.problem(api.ReasonNoServer, http.StatusServiceUnavailable, "no server of the service is up")
 			problem.RetryAfter = retrySoon
 			return nil, problem
@@ -214,7 +214,7 @@
 		HeaderTimeout: plainHeaderTimeout, BlockTimeout: plainBlockTimeout, Fresh: p.once,
 		Wrote: func() {
 			p.handed = true
-			left = p.router.opts.Guard.Begin(server.ID, p.suspect)
+			left = p.router.opts.Guard.Begin(server.ID, p.suspect, time.Now())
 		},
 	}, p)
 	if err != nil && ctx.Err() == nil && p.late.isGivenUp() {
--- a/internal/router/suspect.go
+++ b/internal/router/suspect.go
@@ -18,14 +18,18 @@
 type Guard interface {
 	Judge(f poison.Fingerprint, now time.Time) (poison.Verdict, time.Duration)
 	Place(f poison.Fingerprint, pool []poison.Member, now time.Time) (api.ServerID, bool)
-	Begin(server api.ServerID, f poison.Fingerprint) (end func())
+	Begin(server api.ServerID, f poison.Fingerprint, now time.Time) (end func())
 	// Crashed and Died report whether the death was not known yet.
 	Crashed(server api.ServerID, now time.Time) (isNew bool)
 	Died(server api.ServerID, now time.Time) (isNew bool)
+	// Lost notes that a server no longer holds a request that it ran, and reports whether it died meanwhile.
+	Lost(server api.ServerID, f poison.Fingerprint) (died bool)
 	// IsDown reports whether a server died and hasn't answered since, which Answered tells.
 	IsDown(server api.ServerID) bool
 	Answered(server api.ServerID)
 	Finished(f poison.Fingerprint, now time.Time)
+	// HearsPeers reports whether the news of all peers came a moment ago.
+	HearsPeers(now time.Time) bool
 	// RetryAfter returns when a request for which Place found no server has a chance again.
 	RetryAfter(f poison.Fingerprint, now time.Time) time.Duration
 }
@@ -80,7 +84,7 @@
 func problemNoPlace(handed bool) *api.Problem {
 	problem := api.NewProblem(api.ReasonNoServer, http.StatusServiceUnavailable, outcomeOf(handed),
 		"servers died a moment ago, and the peers have not yet told what ran on them")
-	problem.RetryAfter = retrySoon
+	problem.RetryAfter = poison.NoticeWithin
 	return problem
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -122,8 +122,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	of, plan := r.size, r.plan
 	calls := int(of.lasts.Seconds()) * of.perSecond
+	deployment, err := trace.FindDeployment("commons")
+	qt.Assert(t, err, qt.IsNil)
 	recorded, err := trace.Generate(trace.GenerateOptions{
-		Deployment: "commons", Seed: r.seed, Entries: calls, Faults: plan.trace, Outcome: trace.Outcome{RefusedShare: refusedShare},
+		Deployment: deployment, Seed: r.seed, Entries: calls, Faults: plan.trace, Outcome: trace.Outcome{RefusedShare: refusedShare},
 	})
 	qt.Assert(t, err, qt.IsNil)
 	spread(recorded.Entries, of.lasts)
--- a/internal/trace/codec_test.go
+++ b/internal/trace/codec_test.go
@@ -15,7 +15,9 @@
 		t.Run(name, func(t *testing.T) {
 			recorded, err := ReadFile(filepath.Join("..", "..", "testdata", "traces", name+".jsonl.gz"))
 			qt.Assert(t, err, qt.IsNil)
-			made, err := Generate(GenerateOptions{Deployment: name, Seed: 1, Entries: 4000})
+			deployment, err := FindDeployment(name)
+			qt.Assert(t, err, qt.IsNil)
+			made, err := Generate(GenerateOptions{Deployment: deployment, Seed: 1, Entries: 4000})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, recorded, qt.DeepEquals, made)
 		})
@@ -47,7 +49,7 @@
 }
 
 func FuzzRead(f *testing.F) {
-	made, err := Generate(GenerateOptions{Deployment: "commons", Seed: 1, Entries: 5})
+	made, err := Generate(GenerateOptions{Deployment: commons(), Seed: 1, Entries: 5})
 	qt.Assert(f, err, qt.IsNil)
 	var seed bytes.Buffer
 	qt.Assert(f, made.Write(&seed), qt.IsNil)
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -11,8 +11,7 @@
 
 // GenerateOptions tells what trace to make.
 type GenerateOptions struct {
-	// Deployment is "commons" or "carrasco".
-	Deployment string
+	Deployment Deployment
 	Seed       uint64
 	// Entries is the number of requests, from 1 to MaxEntries.
 	Entries int
@@ -26,20 +25,16 @@
 
 // Generate makes a trace; equal options give equal traces.
 func Generate(opts GenerateOptions) (*Trace, error) {
-	shape, err := findDeployment(opts.Deployment)
-	if err != nil {
-		return nil, err
-	}
 	if opts.Entries < 1 || opts.Entries > MaxEntries {
 		return nil, malformed(1, "number of entries out of bounds", nil)
 	}
 	g := &generator{
-		shape: shape,
+		shape: opts.Deployment,
 		rng:   rand.New(rand.NewPCG(opts.Seed, sessionStream)),
 		open:  map[sessionKey]*session{},
 	}
 	t := &Trace{Header: Header{
-		Fleet: shape.fleet, Seed: opts.Seed, Entries: opts.Entries, Faults: opts.Faults, Outcome: opts.Outcome,
+		Fleet: opts.Deployment.Fleet, Seed: opts.Seed, Entries: opts.Entries, Faults: opts.Faults, Outcome: opts.Outcome,
 	}}
 	for _, at := range g.arrivals(opts.Entries) {
 		t.Entries = append(t.Entries, g.entry(at))
@@ -62,7 +57,7 @@
 }
 
 type generator struct {
-	shape deployment
+	shape Deployment
 	rng   *rand.Rand
 	open  map[sessionKey]*session
 	// sessions counts the sessions so far.
@@ -72,21 +67,21 @@
 
 // arrivals draws n arrival times from the deployment's phases, in order.
 func (g *generator) arrivals(n int) []time.Duration {
-	g.span = time.Duration(float64(n) / g.shape.rate * float64(time.Second))
-	weights := make([]float64, len(g.shape.phases))
+	g.span = time.Duration(float64(n) / g.shape.Rate * float64(time.Second))
+	weights := make([]float64, len(g.shape.Phases))
 	from := 0.0
-	for i, p := range g.shape.phases {
-		weights[i] = (p.until - from) * p.load
-		from = p.until
+	for i, p := range g.shape.Phases {
+		weights[i] = (p.Until - from) * p.Load
+		from = p.Until
 	}
 	times := make([]time.Duration, n)
 	for i := range times {
 		k := g.pick(weights)
 		from = 0
 		if k > 0 {
-			from = g.shape.phases[k-1].until
+			from = g.shape.Phases[k-1].Until
 		}
-		at := from + g.rng.Float64()*(g.shape.phases[k].until-from)
+		at := from + g.rng.Float64()*(g.shape.Phases[k].Until-from)
 		times[i] = time.Duration(at * float64(g.span)).Round(time.Millisecond)
 	}
 	slices.Sort(times)
@@ -94,70 +89,70 @@
 }
 
 func (g *generator) entry(at time.Duration) Entry {
-	team := g.shape.teams[g.pickBy(len(g.shape.teams), func(i int) float64 { return g.shape.teams[i].weight })]
-	if g.rng.Float64() < g.shape.plainShare {
+	team := g.shape.Teams[g.pickBy(len(g.shape.Teams), func(i int) float64 { return g.shape.Teams[i].Weight })]
+	if g.rng.Float64() < g.shape.PlainShare {
 		return g.plain(at, team)
 	}
 	return g.chat(at, team)
 }
 
-func (g *generator) plain(at time.Duration, team teamShape) Entry {
-	call := g.shape.calls[g.pickBy(len(g.shape.calls), func(i int) float64 { return g.shape.calls[i].weight })]
-	path := call.path
-	if call.numbered {
-		path = fmt.Sprintf("%s/%d", call.path, g.rng.IntN(500))
+func (g *generator) plain(at time.Duration, team TeamShape) Entry {
+	call := g.shape.Calls[g.pickBy(len(g.shape.Calls), func(i int) float64 { return g.shape.Calls[i].Weight })]
+	path := call.Path
+	if call.Numbered {
+		path = fmt.Sprintf("%s/%d", call.Path, g.rng.IntN(500))
 	}
 	return Entry{
-		At: at, Kind: KindPlain, Team: team.name, Service: g.shape.plain, Method: call.method, Path: path,
-		OnceOnly: call.onceOnly, Priority: api.PriorityNormal, Deadline: 30 * time.Second,
+		At: at, Kind: KindPlain, Team: team.Name, Service: g.shape.Plain, Method: call.Method, Path: path,
+		OnceOnly: call.OnceOnly, Priority: api.PriorityNormal, Deadline: 30 * time.Second,
 	}
 }
 
-func (g *generator) chat(at time.Duration, team teamShape) Entry {
-	isBatch := g.rng.Float64() < g.phaseAt(at).batch
+func (g *generator) chat(at time.Duration, team TeamShape) Entry {
+	isBatch := g.rng.Float64() < g.phaseAt(at).Batch
 	class := g.class(isBatch)
 	entry := Entry{
-		At: at, Kind: KindChat, Team: team.name, Service: g.shape.engine, Class: class.name,
-		AnswerTokens: g.tokens(class.answer), Stream: class.stream && !isBatch,
-		Difficulty: class.easiest + g.rng.Float64()*(class.hardest-class.easiest),
-		Priority:   class.priority, Deadline: class.deadline,
+		At: at, Kind: KindChat, Team: team.Name, Service: g.shape.Engine, Class: class.Name,
+		AnswerTokens: g.tokens(class.Answer), Stream: class.Stream && !isBatch,
+		Difficulty: class.Easiest + g.rng.Float64()*(class.Hardest-class.Easiest),
+		Priority:   class.Priority, Deadline: class.Deadline,
 	}
 	if isBatch {
 		entry.Priority = api.PriorityLow
-		entry.Deadline = max(class.deadline, 5*time.Minute)
+		entry.Deadline = max(class.Deadline, 5*time.Minute)
 	}
 	s := g.session(team, class)
 	entry.Prefix, entry.PrefixTokens = s.prefix, s.tokens
-	if class.turns > 1 {
+	if class.Turns > 1 {
 		entry.Session = s.name
 	}
-	entry.PromptTokens = s.tokens + g.tokens(tokenRange{class.prompt.least - class.prefix.least, class.prompt.most - class.prefix.most})
+	entry.PromptTokens = s.tokens + g.tokens(TokenRange{class.Prompt.Least - class.Prefix.Least, class.Prompt.Most - class.Prefix.Most})
 	return entry
 }
 
 // class draws a class; batches lean towards the last class with a long deadline.
-func (g *generator) class(isBatch bool) classShape {
-	return g.shape.classes[g.pickBy(len(g.shape.classes), func(i int) float64 {
-		class := g.shape.classes[i]
-		if isBatch && class.priority == api.PriorityLow {
-			return 2 * class.weight
+func (g *generator) class(isBatch bool) ClassShape {
+	return g.shape.Classes[g.pickBy(len(g.shape.Classes), func(i int) float64 {
+		class := g.shape.Classes[i]
+		if isBatch && class.Priority == api.PriorityLow {
+			return 2 * class.Weight
 		}
-		return class.weight
+		return class.Weight
 	})]
 }
 
 // session returns the team's open session of a class, or opens one on one of the team's prefixes.
-func (g *generator) session(team teamShape, class classShape) *session {
-	key := sessionKey{team.name, class.name}
+func (g *generator) session(team TeamShape, class ClassShape) *session {
+	key := sessionKey{team.Name, class.Name}
 	s := g.open[key]
 	if s == nil || s.left == 0 {
 		g.sessions++
-		k := g.rng.IntN(team.prefixes)
+		k := g.rng.IntN(team.Prefixes)
 		s = &session{
 			name:   fmt.Sprintf("s%d", g.sessions),
-			prefix: fmt.Sprintf("%s/%s/%d", team.name, class.name, k),
-			tokens: class.prefix.least + api.Tokens(k*37)%(class.prefix.most-class.prefix.least),
-			left:   1 + int(g.rng.ExpFloat64()*(class.turns-1)+0.5),
+			prefix: fmt.Sprintf("%s/%s/%d", team.Name, class.Name, k),
+			tokens: class.Prefix.Least + api.Tokens(k*37)%(class.Prefix.Most-class.Prefix.Least),
+			left:   1 + int(g.rng.ExpFloat64()*(class.Turns-1)+0.5),
 		}
 		g.open[key] = s
 	}
@@ -165,18 +160,18 @@
 	return s
 }
 
-func (g *generator) phaseAt(at time.Duration) phase {
+func (g *generator) phaseAt(at time.Duration) Phase {
 	part := float64(at) / float64(g.span)
-	for _, p := range g.shape.phases {
-		if part <= p.until {
+	for _, p := range g.shape.Phases {
+		if part <= p.Until {
 			return p
 		}
 	}
-	return g.shape.phases[len(g.shape.phases)-1]
+	return g.shape.Phases[len(g.shape.Phases)-1]
 }
 
-func (g *generator) tokens(r tokenRange) api.Tokens {
-	return r.least + api.Tokens(g.rng.Int64N(int64(r.most-r.least)+1))
+func (g *generator) tokens(r TokenRange) api.Tokens {
+	return r.Least + api.Tokens(g.rng.Int64N(int64(r.Most-r.Least)+1))
 }
 
 func (g *generator) pick(weights []float64) int {
