Bound attempts that reach no server by time; stand-ins that are down refuse connections; take free loopback addresses

Attempts of which no server got a byte no longer count as tries: they end with the time that a request waits for a server, with waits that double up to 0.5 s.

--- a/internal/capacity/path_test.go
+++ b/internal/capacity/path_test.go
@@ -81,7 +81,7 @@
 // measurePath returns the processor time that a node adds to a streamed answer, for each number of tokens.
 func measurePath(t *testing.T, tokens []int) []float64 {
 	system, err := dev.Start(t.Context(), dev.Options{
-		Config: configOf(systemOptions{domains: 1, services: 1}), Prefix: "127.7", Nodes: 1, Engines: 1, Seed: 1,
+		Config: configOf(systemOptions{domains: 1, services: 1}), Nodes: 1, Engines: 1, Seed: 1,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	defer system.Close()
@@ -122,7 +122,7 @@
 	if len(streams) > 0 {
 		memory := make([]float64, len(streams))
 		for i, n := range streams {
-			result, err := overhead.Measure(t.Context(), overhead.Options{Rate: 20, Streams: n, Duration: time.Second, Prefix: "127.6"})
+			result, err := overhead.Measure(t.Context(), overhead.Options{Rate: 20, Streams: n, Duration: time.Second})
 			qt.Assert(t, err, qt.IsNil)
 			memory[i] = result.AddedStreamBytes * float64(n) / 1e6
 		}
--- a/internal/dev/servers.go
+++ b/internal/dev/servers.go
@@ -52,15 +52,16 @@
 	for range s.opts.Engines {
 		n := len(s.engines)
 		listed := s.list(service.Name, hostEngine, n)
-		conns := newOpenConns()
+		host := newStandInHost()
 		server := enginefake.New(enginefake.Options{
 			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Slots: s.opts.EngineSlots,
 			TokensPerSecond: s.opts.EngineSpeed * (1 + float64(n%speedSteps)/2), BatchSlowdown: 0.3,
 			PrefillTokensPerSecond: s.opts.EngineSpeed * prefillFactor, Versions: s.engineVersions(service, n),
-			LoadLag: loadLag, EventLag: loadLag, EventGaps: 0.05, ChecksFencing: service.ChecksFencing, OnDown: conns.closeAll,
+			LoadLag: loadLag, EventLag: loadLag, EventGaps: 0.05, ChecksFencing: service.ChecksFencing, OnDown: host.down,
+			OnUp: func() { s.comeBack(listed.ID, host) },
 		})
 		s.engines = append(s.engines, &serverSlot[*enginefake.Engine]{listed: listed, server: server})
-		if err := s.serveWith(ctx, s.ip(hostEngine, n+1), serverPort, server, conns); err != nil {
+		if err := s.serveWith(ctx, s.ip(hostEngine, n+1), serverPort, server, host); err != nil {
 			return err
 		}
 	}
@@ -92,12 +93,13 @@
 	for range s.opts.Plains {
 		n := len(s.plains)
 		listed := s.list(service.Name, hostPlain, n)
-		conns := newOpenConns()
+		host := newStandInHost()
 		server := plainfake.New(plainfake.Options{
-			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Latency: plainLatency, Jitter: plainLatency, OnDown: conns.closeAll,
+			ID: listed.ID, Seed: s.opts.Seed + uint64(n), Latency: plainLatency, Jitter: plainLatency, OnDown: host.down,
+			OnUp: func() { s.comeBack(listed.ID, host) },
 		})
 		s.plains = append(s.plains, &serverSlot[*plainfake.Service]{listed: listed, server: server})
-		if err := s.serveWith(ctx, s.ip(hostPlain, n+1), serverPort, server, conns); err != nil {
+		if err := s.serveWith(ctx, s.ip(hostPlain, n+1), serverPort, server, host); err != nil {
 			return err
 		}
 	}
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -3,13 +3,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -46,6 +49,9 @@
 	serverPort = 8000
 	// kvPort is that of the key-value service.
 	kvPort = 2379
+	// firstAnyPrefix is the second number of the first address that Options.anyPrefix tries, anyPrefixes how many it tries.
+	firstAnyPrefix = 200
+	anyPrefixes    = 50
 	// ratingPort is that of the rating service and weightPort that of the weight store.
 	ratingPort = 2381
 	weightPort = 2382
@@ -67,7 +73,8 @@
 	Config *fleet.Config
 	// Networks is the system's network; nil takes the loopback interface.
 	Networks Networks
-	// Prefix holds the first two numbers of every address; empty means "127.1".
+	// Prefix holds the first two numbers of every address; empty takes a free one on the loopback interface, and "127.1" on other
+	// networks.
 	Prefix string
 	// Nodes is the number of nodes, one failure domain after the other; 0 means 3.
 	Nodes int
@@ -95,6 +102,9 @@
 	DrainTimeout time.Duration
 	// AddressKeep is how long nodes let callers keep addresses; 0 means 2 s.
 	AddressKeep time.Duration
+
+	// anyPrefix tells that Prefix is the first one found to be free.
+	anyPrefix bool
 }
 
 // NodeRunner runs nodes in processes of their own. KillNode and DrainNode return once the node has ended.
@@ -148,6 +158,7 @@
 func (o *Options) setDefaults() {
 	if o.Networks == nil {
 		o.Networks = func(string) tcp.Network { return tcp.System{} }
+		o.anyPrefix = o.Prefix == ""
 	}
 	if o.Reach == nil {
 		o.Reach = func(address string) string { return address }
@@ -187,11 +198,8 @@
 }
 
 func (s *System) start(ctx context.Context) error {
-	platform := map[int]http.Handler{kvPort: s.KV, vmListPort: s.VMs, ratingPort: s.Ratings, weightPort: s.Weights}
-	for _, port := range slices.Sorted(maps.Keys(platform)) {
-		if err := s.serve(ctx, s.ip(hostPlatform, 1), port, platform[port]); err != nil {
-			return err
-		}
+	if err := s.startPlatform(ctx); err != nil {
+		return err
 	}
 	if err := s.startServers(ctx); err != nil {
 		return err
@@ -209,6 +217,25 @@
 	return nil
 }
 
+// startPlatform begins to serve the platform's stand-ins. The first of them claims the prefix of all addresses.
+func (s *System) startPlatform(ctx context.Context) error {
+	err := s.serve(ctx, s.ip(hostPlatform, 1), kvPort, s.KV)
+	for i := 0; s.opts.anyPrefix && errors.Is(err, syscall.EADDRINUSE) && i < anyPrefixes; i++ {
+		s.opts.Prefix = fmt.Sprintf("127.%d", firstAnyPrefix+(os.Getpid()+i)%anyPrefixes)
+		err = s.serve(ctx, s.ip(hostPlatform, 1), kvPort, s.KV)
+	}
+	if err != nil {
+		return err
+	}
+	others := map[int]http.Handler{vmListPort: s.VMs, ratingPort: s.Ratings, weightPort: s.Weights}
+	for _, port := range slices.Sorted(maps.Keys(others)) {
+		if err := s.serve(ctx, s.ip(hostPlatform, 1), port, others[port]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // markedQuality rates an answer by the mark that stand-in engines put into it.
 func markedQuality(s rating.Submission) api.Quality {
 	quality, _ := script.ParseQuality(s.Answer)
@@ -231,18 +258,27 @@
 
 // serve runs a handler on an address until the system ends.
 func (s *System) serve(ctx context.Context, ip string, port int, handler http.Handler) error {
-	return s.serveWith(ctx, ip, port, handler, newOpenConns())
+	return s.serveWith(ctx, ip, port, handler, newStandInHost())
 }
 
 // serveWith serves a stand-in whose connections can be ended.
-func (s *System) serveWith(ctx context.Context, ip string, port int, handler http.Handler, conns *openConns) error {
-	listener, err := s.opts.Networks(ip).Listen(ctx, fmt.Sprintf("%s:%d", ip, port))
-	if err != nil {
-		return Error.Wrap(err)
+func (s *System) serveWith(ctx context.Context, ip string, port int, handler http.Handler, host *standInHost) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnState: host.track}
+	host.listen = func() (net.Listener, error) {
+		listener, err := s.opts.Networks(ip).Listen(context.WithoutCancel(ctx), fmt.Sprintf("%s:%d", ip, port))
+		if err == nil {
+			s.running.Go(func() { s.serveUntilEnd(server, listener) })
+		}
+		return listener, err
+	}
+	return host.up()
+}
+
+// comeBack lets the host of a stand-in that begins another life take connections again.
+func (s *System) comeBack(id api.ServerID, host *standInHost) {
+	if err := host.up(); err != nil {
+		s.log.WithField("server", string(id)).WithError(err).Error("stand-in can't listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnState: conns.track}
-	s.running.Go(func() { s.serveUntilEnd(server, listener) })
-	return nil
 }
 
 func (s *System) serveUntilEnd(server *http.Server, listener net.Listener) {
--- a/internal/fake/enginefake/engine.go
+++ b/internal/fake/enginefake/engine.go
@@ -81,9 +81,6 @@
 // begin starts a life: nothing of an earlier one is left.
 func (e *Engine) begin() {
 	e.life, e.endLife = context.WithCancel(context.Background())
-	if e.opts.OnDown != nil {
-		context.AfterFunc(e.life, e.opts.OnDown)
-	}
 	e.down = false
 	e.generations = make(map[api.RequestID]*generation)
 	e.finished = nil
@@ -97,6 +94,9 @@
 		delete(e.loaded, id)
 	}
 	e.noteLoad()
+	if e.opts.OnUp != nil {
+		e.opts.OnUp()
+	}
 }
 
 func (e *Engine) routes() *http.ServeMux {
@@ -149,6 +149,9 @@
 	e.noteDeath()
 	e.down = true
 	e.endLife()
+	if e.opts.OnDown != nil {
+		e.opts.OnDown()
+	}
 }
 
 // Restart begins another life with the versions of the start; it does nothing while the engine is up or closed.
--- a/internal/fake/enginefake/options.go
+++ b/internal/fake/enginefake/options.go
@@ -53,9 +53,9 @@
 	IgnoreCrashMarker bool
 	// OnCrash is called, without locks held, once the engine has crashed.
 	OnCrash func()
-	// OnDown is called once the engine has been killed, has crashed or is closed; it ends the connections of its host, as the
-	// operating system does.
-	OnDown func()
+	// OnDown is called when the engine is killed, crashes or is closed, and OnUp when a life begins; they end and allow the
+	// connections of its host, as the operating system does, and must not call the engine.
+	OnDown, OnUp func()
 	// FetchWeights is called while a version loads; an error fails the load.
 	FetchWeights func(version api.VersionID) error
 }
--- a/internal/fake/plainfake/service.go
+++ b/internal/fake/plainfake/service.go
@@ -33,9 +33,9 @@
 	Jitter  time.Duration
 	// Slots is the capacity that the load report shows; 0 means 32.
 	Slots int
-	// OnDown is called once the service has been killed or is closed; it ends the connections of its host, as the operating
-	// system does.
-	OnDown func()
+	// OnDown is called when the service is killed or closed, and OnUp when a life begins; they end and allow the connections of
+	// its host, as the operating system does, and must not call the service.
+	OnDown, OnUp func()
 }
 
 // Run records a call that reached the service.
@@ -118,15 +118,15 @@
 func (s *Service) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed, s.down = true, true
-	s.endLife()
+	s.closed = true
+	s.kill()
 }
 
 // beginLife starts a life.
 func (s *Service) beginLife() {
 	s.life, s.endLife = context.WithCancel(context.Background())
-	if s.opts.OnDown != nil {
-		context.AfterFunc(s.life, s.opts.OnDown)
+	if s.opts.OnUp != nil {
+		s.opts.OnUp()
 	}
 }
 
@@ -134,8 +134,15 @@
 func (s *Service) Kill() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.kill()
+}
+
+func (s *Service) kill() {
 	s.down = true
 	s.endLife()
+	if s.opts.OnDown != nil {
+		s.opts.OnDown()
+	}
 }
 
 // Restart brings a killed server back; it does nothing while the server is up or closed.
--- a/internal/overhead/measure.go
+++ b/internal/overhead/measure.go
@@ -42,7 +42,7 @@
 	Streams int
 	// Duration is how long requests are sent.
 	Duration time.Duration
-	// Prefix begins the loopback addresses; empty means "127.9".
+	// Prefix begins the loopback addresses; empty takes a free one.
 	Prefix string
 	// Sequential is the number of requests, one after the other, whose allocations are counted; zero means 2,000.
 	Sequential int
@@ -105,9 +105,6 @@
 
 // Measure runs the measurement.
 func Measure(ctx context.Context, opts Options) (*Result, error) {
-	if opts.Prefix == "" {
-		opts.Prefix = "127.9"
-	}
 	if opts.Sequential == 0 {
 		opts.Sequential = defaultSequential
 	}
--- a/internal/overhead/overhead_test.go
+++ b/internal/overhead/overhead_test.go
@@ -10,7 +10,7 @@
 
 // BenchmarkRequest compares a request through a node with the same one straight to the stand-in.
 func BenchmarkRequest(b *testing.B) {
-	r, err := newRig(b.Context(), "127.8")
+	r, err := newRig(b.Context(), "")
 	qt.Assert(b, err, qt.IsNil)
 	defer r.close()
 	request := body(fastModel, false, answerTokens)
@@ -41,7 +41,7 @@
 	if testing.Short() {
 		t.Skip("takes seconds")
 	}
-	result, err := Measure(t.Context(), Options{Rate: 50, Streams: 5, Duration: time.Second, Prefix: "127.8", Sequential: 20})
+	result, err := Measure(t.Context(), Options{Rate: 50, Streams: 5, Duration: time.Second, Sequential: 20})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, result.Direct.Count, qt.Equals, int64(50))
 	qt.Assert(t, result.Node.Count, qt.Equals, int64(50))
--- a/internal/overhead/stream_test.go
+++ b/internal/overhead/stream_test.go
@@ -47,7 +47,7 @@
 // BenchmarkStream reads streams of events through a node and straight from the stand-in; what the first costs more is the
 // node's. An operation is a whole answer.
 func BenchmarkStream(b *testing.B) {
-	r, err := newRig(b.Context(), "127.8")
+	r, err := newRig(b.Context(), "")
 	qt.Assert(b, err, qt.IsNil)
 	defer r.close()
 	for _, engine := range r.system.Engines() {
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -43,7 +43,9 @@
 	resolveTimeout = 5 * time.Second
 	// retryWait is the wait before another server is tried.
 	retryWait = 20 * time.Millisecond
-	// guardedWait is the wait before a guarded request that could not be sent is tried again.
+	// maxWaitDoublings bounds how often retryWait is doubled where servers can't be reached.
+	maxWaitDoublings = 5
+	// guardedWait bounds that wait, and is the one before a guarded request that could not be sent is tried again.
 	guardedWait = 500 * time.Millisecond
 	// noServerWait is how long a request waits for a server to come.
 	noServerWait = 2 * time.Second
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -46,6 +46,7 @@
 	began time.Time
 	// attempts counts the generations begun.
 	attempts int
+	failed   tries
 	// answered is that of Admitted; work sums the lengths of the request's whole answers as it takes them.
 	answered func(tokens float64)
 	work     float64
@@ -120,32 +121,26 @@
 		c.tried = append(c.tried, to.server.ID)
 	}
 	c.attempts++
+	now := time.Now()
+	c.failed.add(engine.IsErrNotSent(err), now)
 	if isLate(err) {
 		return nil
 	}
 	if stale == nil {
-		noteFailure(to.server, err, time.Now())
+		noteFailure(to.server, err, now)
 	}
-	if c.attempts >= maxAttempts {
+	if c.failed.isLast(now, func(since time.Time) time.Time { return c.giveUpAt(since, to.guarded) }) {
 		return c.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
 	if !engine.IsErrNotSent(err) && !c.router.takeRetry() {
 		return c.problem(api.ReasonServerFailed, http.StatusBadGateway, "a server failed and no retry is left to spend")
 	}
-	if !sleep.For(ctx, retryWaitOf(to.guarded)) {
+	if !sleep.For(ctx, c.failed.wait(to.guarded)) {
 		return c.problemEnded(ctx)
 	}
 	return nil
 }
 
-// retryWaitOf returns the wait before another try; a guarded request has one place only, until the peers have been heard.
-func retryWaitOf(guarded bool) time.Duration {
-	if guarded {
-		return guardedWait
-	}
-	return retryWait
-}
-
 // noteFailure keeps later requests away from a server as far as its failure tells.
 func noteFailure(server *registry.Server, err error, now time.Time) {
 	refused, ok := engine.AsErrRefused(err)
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -82,6 +82,7 @@
 	handed   bool
 	tried    []api.ServerID
 	attempts int
+	failed   tries
 	began    time.Time
 	// headAt is when the answer's header came.
 	headAt time.Time
@@ -301,17 +302,19 @@
 		p.tried = append(p.tried, server.ID)
 		server.MarkFailed(time.Now())
 	}
+	now := time.Now()
+	p.failed.add(plain.IsErrNotSent(err), now)
 	if isLate(err) {
 		return nil
 	}
-	if p.attempts >= maxAttempts {
+	if p.failed.isLast(now, func(since time.Time) time.Time { return since.Add(serverWait(p.guarded, p.handed)) }) {
 		return p.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
 	if !plain.IsErrNotSent(err) && !p.router.takeRetry() {
 		return p.problem(api.ReasonServerFailed, http.StatusBadGateway, "a server failed and no retry is left to spend")
 	}
 	p.answer.Restart()
-	if !sleep.For(ctx, retryWaitOf(p.guarded)) {
+	if !sleep.For(ctx, p.failed.wait(p.guarded)) {
 		return p.problem(api.ReasonDeadline, http.StatusGatewayTimeout, "no whole answer before the deadline")
 	}
 	return nil
--- /dev/null
+++ b/internal/router/tries.go
@@ -0,0 +1,41 @@
+package router
+
+import "time"
+
+// tries are the attempts of one request that failed. Those that could not be sent cost servers nothing: they are bounded by the time
+// since the first of them, the others by maxAttempts.
+type tries struct {
+	// sent counts the attempts of which a server may have got a part.
+	sent int
+	// unsent counts the attempts since the last of those that could not be sent; unsentSince is when the first of them failed.
+	unsent      int
+	unsentSince time.Time
+}
+
+// add notes an attempt that failed.
+func (t *tries) add(isUnsent bool, now time.Time) {
+	if !isUnsent {
+		*t = tries{sent: t.sent + 1}
+		return
+	}
+	if t.unsent == 0 {
+		t.unsentSince = now
+	}
+	t.unsent++
+}
+
+// isLast reports whether the attempt added last was the last; giveUpAt returns until when a request waits that waits since a time.
+func (t *tries) isLast(now time.Time, giveUpAt func(since time.Time) time.Time) bool {
+	if t.unsent > 0 {
+		return now.After(giveUpAt(t.unsentSince))
+	}
+	return t.sent >= maxAttempts
+}
+
+// wait returns how long to wait before another attempt; a guarded request has one place only, until the peers have been heard.
+func (t *tries) wait(guarded bool) time.Duration {
+	if guarded {
+		return guardedWait
+	}
+	return min(retryWait<<min(max(t.unsent-1, 0), maxWaitDoublings), guardedWait)
+}
