--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -113,15 +113,22 @@
 // Lost notes that a server no longer holds a request that it ran and reports whether it died meanwhile: one that is back at once
 // answers as if it had only given the request up.
 func (g *Guard) Lost(server api.ServerID, f poison.Fingerprint) (died bool) {
+	if died = g.noteLost(server, f); died {
+		g.changed()
+	}
+	return died
+}
+
+func (g *Guard) noteLost(server api.ServerID, f poison.Fingerprint) (died bool) {
 	g.mu.Lock()
-	run := poison.Run{Fingerprint: f, Since: g.running[server][f].last}
-	at, died := g.guard.DeathSince(server, run.Since)
-	if died {
-		g.guard.Crashed(server, []poison.Run{run}, at)
+	defer g.mu.Unlock()
+	ran, ok := g.running[server][f]
+	if !ok {
+		return false
 	}
-	g.mu.Unlock()
+	at, died := g.guard.DeathSince(server, ran.last)
 	if died {
-		g.changed()
+		g.guard.Crashed(server, []poison.Run{{Fingerprint: f, Since: ran.last}}, at)
 	}
 	return died
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -104,6 +104,8 @@
 	g.Heard(now.Add(time.Minute))
 	qt.Check(t, g.Lost("s1", late), qt.IsFalse, qt.Commentf("it began after the death"))
 	qt.Check(t, told, qt.Equals, 0)
+	qt.Check(t, g.Lost("s1", poison.FingerprintOf([]byte("never sent"))), qt.IsFalse)
+	qt.Check(t, told, qt.Equals, 0)
 	qt.Check(t, g.Lost("s1", early), qt.IsTrue)
 	qt.Check(t, told, qt.Equals, 1)
 	verdict, _ := g.Judge(early, now.Add(time.Minute))
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -342,3 +344,31 @@
 	placed := place(own, sharing, 600*time.Millisecond+NoticeWithin)
 	qt.Check(t, placed != "" && placed != placeOf(poison), qt.IsTrue, qt.Commentf("placed on %q", placed))
 }
+
+// TestOrderOfMergesDoesNotMatter merges the same suspicions in two orders, and one of them twice.
+func TestOrderOfMergesDoesNotMatter(t *testing.T) {
+	servers := []api.ServerID{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Suspicion {
+			suspicion := Suspicion{Fingerprint: Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint"))}
+			for _, server := range servers {
+				if rapid.Bool().Draw(t, "crashed") {
+					suspicion.Crashes = append(suspicion.Crashes, Crash{
+						Server: server, At: start.Add(time.Duration(rapid.IntRange(1, 3).Draw(t, "at")) * time.Second), Young: rapid.Bool().Draw(t, "young"),
+					})
+				}
+			}
+			return suspicion
+		}), 0, 6).Draw(t, "suspicions")
+		now := start.Add(time.Minute)
+		forwards, backwards := NewGuard(start), NewGuard(start)
+		forwards.Merge(drawn)
+		for _, suspicion := range slices.Backward(drawn) {
+			backwards.Merge([]Suspicion{suspicion})
+			backwards.Merge([]Suspicion{suspicion})
+		}
+		if got, want := backwards.Suspicions(now), forwards.Suspicions(now); !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v\n%v", got, want)
+		}
+	})
+}
