Count a death against a request that was given up as its server died

A request's deadline passed in the moment in which it crashed its second server: its run had ended, so the death was noted as one of another cause, and sent again it crashed a third. Ruled out: the cut between nodes, the order of places.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,6 +18,8 @@
 	guard *poison.Guard
 	// running holds this node's runs of each fingerprint on each server.
 	running map[api.ServerID]map[poison.Fingerprint]runs
+	// givenUp holds runs that ended early, without the server, for poison.NoticeWithin.
+	givenUp map[api.ServerID]map[poison.Fingerprint]givenUp
 	// down holds when servers died that haven't answered since; after poison.ReleaseAfter they are forgotten.
 	down map[api.ServerID]time.Time
 	// changed is called, without locks held, when the peers must be told.
@@ -32,6 +34,9 @@
 	last time.Time
 }
 
+// givenUp is a run that the node no longer waits for.
+type givenUp struct{ since, at time.Time }
+
 // New returns a guard; changed may be nil.
 func New(now time.Time, changed func()) *Guard {
 	if changed == nil {
@@ -39,7 +44,7 @@
 	}
 	return &Guard{
 		guard: poison.NewGuard(now), running: make(map[api.ServerID]map[poison.Fingerprint]runs),
-		down: make(map[api.ServerID]time.Time), changed: changed,
+		givenUp: make(map[api.ServerID]map[poison.Fingerprint]givenUp), down: make(map[api.ServerID]time.Time), changed: changed,
 	}
 }
 
@@ -99,17 +104,48 @@
 // Crashed notes that a server died while it ran what Begin was called for. It reports whether the death was not known yet.
 func (g *Guard) Crashed(server api.ServerID, now time.Time) (isNew bool) {
 	g.mu.Lock()
-	var running []poison.Run
+	at, isNew := g.noteDown(server, now)
+	crashed := g.takeGivenUp(server, at)
 	for _, f := range slices.Sorted(maps.Keys(g.running[server])) {
-		running = append(running, poison.Run{Fingerprint: f, Since: g.running[server][f].last})
+		crashed = append(crashed, poison.Run{Fingerprint: f, Since: g.running[server][f].last})
 	}
-	at, isNew := g.noteDown(server, now)
-	g.guard.Crashed(server, running, at)
+	g.guard.Crashed(server, crashed, at)
 	g.mu.Unlock()
 	g.changed()
 	return isNew
 }
 
+// GiveUp notes that a request's run ends here while the server may still work on it, so that a death of the server that is noticed
+// a moment later counts against it. Call it before the function that Begin returned.
+func (g *Guard) GiveUp(server api.ServerID, f poison.Fingerprint, now time.Time) {
+	if g.Lost(server, f) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ran, ok := g.running[server][f]
+	if !ok {
+		return
+	}
+	if g.givenUp[server] == nil {
+		g.givenUp[server] = make(map[poison.Fingerprint]givenUp)
+	}
+	maps.DeleteFunc(g.givenUp[server], func(_ poison.Fingerprint, run givenUp) bool { return now.Sub(run.at) >= poison.NoticeWithin })
+	g.givenUp[server][f] = givenUp{since: ran.last, at: now}
+}
+
+// takeGivenUp returns the runs that a server may have worked on when it died, and forgets them.
+func (g *Guard) takeGivenUp(server api.ServerID, died time.Time) []poison.Run {
+	var runs []poison.Run
+	for _, f := range slices.Sorted(maps.Keys(g.givenUp[server])) {
+		if run := g.givenUp[server][f]; died.Sub(run.at) < poison.NoticeWithin {
+			runs = append(runs, poison.Run{Fingerprint: f, Since: run.since})
+		}
+	}
+	delete(g.givenUp, server)
+	return runs
+}
+
 // Lost notes that a server no longer holds a request that it ran and reports whether it died meanwhile: one that is back at once
 // answers as if it had only given the request up.
 func (g *Guard) Lost(server api.ServerID, f poison.Fingerprint) (died bool) {
@@ -136,9 +172,13 @@
 // Died notes that a server died, whether or not it ran requests of this node. It reports whether the death was not known yet.
 func (g *Guard) Died(server api.ServerID, now time.Time) (isNew bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	at, isNew := g.noteDown(server, now)
-	g.guard.Died(server, at)
+	crashed := g.takeGivenUp(server, at)
+	g.guard.Crashed(server, crashed, at)
+	g.mu.Unlock()
+	if len(crashed) > 0 {
+		g.changed()
+	}
 	return isNew
 }
 
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -113,3 +113,38 @@
 	verdict, _ = g.Judge(late, now.Add(time.Minute))
 	qt.Check(t, verdict, qt.Equals, poison.VerdictFree)
 }
+
+// TestRequestGivenUpAsItsServerDies gives a request up at its deadline while its server dies of it: the death counts against it whether
+// it was noticed before, at once or a moment later.
+func TestRequestGivenUpAsItsServerDies(t *testing.T) {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	f := poison.FingerprintOf([]byte("q"))
+	for _, test := range []struct {
+		name   string
+		died   time.Duration
+		before bool
+		want   poison.Verdict
+	}{
+		{"before", 0, true, poison.VerdictGuarded},
+		{"at once", 0, false, poison.VerdictGuarded},
+		{"a moment later", poison.NoticeWithin - 1, false, poison.VerdictGuarded},
+		{"long after", poison.NoticeWithin, false, poison.VerdictFree},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := guard.New(now, nil)
+			end := g.Begin("s1", f, now)
+			at := now.Add(time.Second)
+			if test.before {
+				g.Died("s1", at)
+			}
+			g.GiveUp("s1", f, at)
+			end()
+			if !test.before {
+				g.Died("s1", at.Add(test.died))
+			}
+			g.Heard(at.Add(time.Minute))
+			verdict, _ := g.Judge(f, at.Add(time.Minute))
+			qt.Check(t, verdict, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/promises/poison_test.go
+++ b/internal/promises/poison_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -164,3 +166,33 @@
 		}
 	})
 }
+
+// TestPoisonGivenUpAtItsDeadline is a drawn plan that was red once: a request's deadline passes in the moment in which it crashes its
+// second server. POISON_LOG=FILE keeps the nodes' logs.
+func TestPoisonGivenUpAtItsDeadline(t *testing.T) {
+	ms := time.Millisecond
+	plan := poisonPlan{
+		sends:  []poisonSend{{0, 3 * time.Second}, {0, 0}, {0, 87 * ms}, {0, 0}, {2, 28 * ms}},
+		faults: []poisonFault{{476 * ms, 8503 * ms, 0, 2, 1}, {4 * ms, 7247 * ms, 2, 0, 0}, {3 * ms, 7495 * ms, 2, 2, 2}},
+	}
+	var logs io.Writer
+	if path := os.Getenv("POISON_LOG"); path != "" {
+		file, err := os.Create(path)
+		qt.Assert(t, err, qt.IsNil)
+		defer file.Close()
+		logs = file
+	}
+	config := loadConfig(t)
+	synctest.Test(t, func(t *testing.T) {
+		w, err := newWorld(Options{Config: config, Change: func(o *dev.Options) { o.Engines, o.LogOutput = poisonEngines, logs }})
+		qt.Assert(t, err, qt.IsNil)
+		defer w.close()
+		ctx, stop := context.WithCancel(context.Background())
+		var restarts sync.WaitGroup
+		restarts.Go(func() { w.restartServers(ctx) })
+		defer restarts.Wait()
+		defer stop()
+		time.Sleep(warmUp)
+		qt.Check(t, len(plan.run(w)) <= poison.MaxCrashes, qt.IsTrue)
+	})
+}
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -177,6 +177,9 @@
 		return err
 	}
 	gen.server.Finished(nil, time.Now())
+	if ctx.Err() != nil || isLate(err) {
+		c.router.opts.Guard.GiveUp(to.server.ID, c.plan.suspect, time.Now())
+	}
 	isBroken := ctx.Err() == nil && engine.IsErrBroken(err) || isServerDied(err)
 	if isBroken && !gen.stall.isTold() {
 		c.router.NoteDeath(ctx, to.server, err)
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -229,6 +229,9 @@
 	}
 	if err != nil {
 		run.Finished(nil, time.Now())
+		if ctx.Err() != nil {
+			p.router.opts.Guard.GiveUp(server.ID, p.suspect, time.Now())
+		}
 		if plain.IsErrBroken(err) && ctx.Err() == nil {
 			p.router.NoteDeath(ctx, server, err)
 		}
--- a/internal/router/suspect.go
+++ b/internal/router/suspect.go
@@ -22,6 +22,8 @@
 	// Crashed and Died report whether the death was not known yet.
 	Crashed(server api.ServerID, now time.Time) (isNew bool)
 	Died(server api.ServerID, now time.Time) (isNew bool)
+	// GiveUp notes that a run ends here while the server may still work on it; call it before Begin's end.
+	GiveUp(server api.ServerID, f poison.Fingerprint, now time.Time)
 	// Lost notes that a server no longer holds a request that it ran, and reports whether it died meanwhile.
 	Lost(server api.ServerID, f poison.Fingerprint) (died bool)
 	// IsDown reports whether a server died and hasn't answered since, which Answered tells.
