Give a run up in one step; keep what was given up in one list

GiveUp looked for a death and noted the run under two separate locks: a death noted between the two counted for nothing, the very case that it is for. Both are one critical section now, with the part that Lost does as one function. No test brings the moment about; found by reading.

The given-up runs are a list in their order instead of a map of maps that was pruned only for a server that came up again.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,8 +18,8 @@
 	guard *poison.Guard
 	// running holds this node's runs of each fingerprint on each server.
 	running map[api.ServerID]map[poison.Fingerprint]runs
-	// givenUp holds runs that ended early, without the server, for poison.NoticeWithin.
-	givenUp map[api.ServerID]map[poison.Fingerprint]givenUp
+	// givenUp holds the runs that the node ended while their server may have worked on, for poison.NoticeWithin, in their order.
+	givenUp []givenUp
 	// down holds when servers died that haven't answered since; after poison.ReleaseAfter they are forgotten.
 	down map[api.ServerID]time.Time
 	// changed is called, without locks held, when the peers must be told.
@@ -35,7 +35,11 @@
 }
 
 // givenUp is a run that the node no longer waits for.
-type givenUp struct{ since, at time.Time }
+type givenUp struct {
+	server api.ServerID
+	run    poison.Run
+	at     time.Time
+}
 
 // New returns a guard; changed may be nil.
 func New(now time.Time, changed func()) *Guard {
@@ -44,7 +48,7 @@
 	}
 	return &Guard{
 		guard: poison.NewGuard(now), running: make(map[api.ServerID]map[poison.Fingerprint]runs),
-		givenUp: make(map[api.ServerID]map[poison.Fingerprint]givenUp), down: make(map[api.ServerID]time.Time), changed: changed,
+		down: make(map[api.ServerID]time.Time), changed: changed,
 	}
 }
 
@@ -118,55 +122,54 @@
 // GiveUp notes that a request's run ends here while the server may still work on it, so that a death of the server that is noticed
 // a moment later counts against it. Call it before the function that Begin returned.
 func (g *Guard) GiveUp(server api.ServerID, f poison.Fingerprint, now time.Time) {
-	if g.Lost(server, f) {
-		return
-	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	ran, ok := g.running[server][f]
-	if !ok {
-		return
+	run, died := g.suspectOfDeath(server, f)
+	if !died && !run.Since.IsZero() {
+		g.givenUp = slices.DeleteFunc(g.givenUp, func(old givenUp) bool { return now.Sub(old.at) >= poison.NoticeWithin })
+		g.givenUp = append(g.givenUp, givenUp{server: server, run: run, at: now})
 	}
-	if g.givenUp[server] == nil {
-		g.givenUp[server] = make(map[poison.Fingerprint]givenUp)
+	g.mu.Unlock()
+	if died {
+		g.changed()
 	}
-	maps.DeleteFunc(g.givenUp[server], func(_ poison.Fingerprint, run givenUp) bool { return now.Sub(run.at) >= poison.NoticeWithin })
-	g.givenUp[server][f] = givenUp{since: ran.last, at: now}
 }
 
-// takeGivenUp returns the runs that a server may have worked on when it died, and forgets them.
+// takeGivenUp returns the runs that a server may have worked on when it died, and forgets all of that server.
 func (g *Guard) takeGivenUp(server api.ServerID, died time.Time) []poison.Run {
 	var runs []poison.Run
-	for _, f := range slices.Sorted(maps.Keys(g.givenUp[server])) {
-		if run := g.givenUp[server][f]; died.Sub(run.at) < poison.NoticeWithin {
-			runs = append(runs, poison.Run{Fingerprint: f, Since: run.since})
+	g.givenUp = slices.DeleteFunc(g.givenUp, func(old givenUp) bool {
+		if old.server == server && died.Sub(old.at) < poison.NoticeWithin {
+			runs = append(runs, old.run)
 		}
-	}
-	delete(g.givenUp, server)
+		return old.server == server
+	})
 	return runs
 }
 
 // Lost notes that a server no longer holds a request that it ran and reports whether it died meanwhile: one that is back at once
 // answers as if it had only given the request up.
 func (g *Guard) Lost(server api.ServerID, f poison.Fingerprint) (died bool) {
-	if died = g.noteLost(server, f); died {
+	g.mu.Lock()
+	_, died = g.suspectOfDeath(server, f)
+	g.mu.Unlock()
+	if died {
 		g.changed()
 	}
 	return died
 }
 
-func (g *Guard) noteLost(server api.ServerID, f poison.Fingerprint) (died bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// suspectOfDeath suspects a run if its server is known to have died since it began. It returns the run, zero if there is none.
+func (g *Guard) suspectOfDeath(server api.ServerID, f poison.Fingerprint) (run poison.Run, died bool) {
 	ran, ok := g.running[server][f]
 	if !ok {
-		return false
+		return poison.Run{}, false
 	}
-	at, died := g.guard.DeathSince(server, ran.last)
+	run = poison.Run{Fingerprint: f, Since: ran.last}
+	at, died := g.guard.DeathSince(server, run.Since)
 	if died {
-		g.guard.Crashed(server, []poison.Run{{Fingerprint: f, Since: ran.last}}, at)
+		g.guard.Crashed(server, []poison.Run{run}, at)
 	}
-	return died
+	return run, died
 }
 
 // Died notes that a server died, whether or not it ran requests of this node. It reports whether the death was not known yet.
