Count the death of a server as an attempt that was sent

A server's death is told by a refused connection and wraps ErrNotSent, so that the attempt it ended was bounded by time as one that no server got. generate already told the two apart; isUnsent does for both. The test fails with IsErrNotSent alone.

isLast takes a time in the place of a function; the three outcomes of a plain attempt, of which one holds, are a switch.

--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -122,14 +122,14 @@
 	}
 	c.attempts++
 	now := time.Now()
-	c.failed.add(engine.IsErrNotSent(err), now)
+	c.failed.add(isUnsent(err), now)
 	if isLate(err) {
 		return nil
 	}
 	if stale == nil {
 		noteFailure(to.server, err, now)
 	}
-	if c.failed.isLast(now, func(since time.Time) time.Time { return c.giveUpAt(since, to.guarded) }) {
+	if c.failed.isLast(now, c.giveUpAt(c.failed.unsentSince, to.guarded)) {
 		return c.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
 	if !engine.IsErrNotSent(err) && !c.router.takeRetry() {
@@ -141,6 +141,10 @@
 	return nil
 }
 
+// isUnsent reports whether no byte of an attempt reached a server; that a server which died can't be reached any more says
+// nothing of that.
+func isUnsent(err error) bool { return engine.IsErrNotSent(err) && !isServerDied(err) }
+
 // noteFailure keeps later requests away from a server as far as its failure tells.
 func noteFailure(server *registry.Server, err error, now time.Time) {
 	refused, ok := engine.AsErrRefused(err)
@@ -184,7 +188,7 @@
 	if isBroken && !gen.stall.isTold() {
 		c.router.NoteDeath(ctx, to.server, err)
 	}
-	if ctx.Err() == nil && to.guarded && engine.IsErrNotSent(err) && !isServerDied(err) {
+	if ctx.Err() == nil && to.guarded && isUnsent(err) {
 		c.router.noteUnreachable(ctx, to.server)
 	}
 	if isLate(err) {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -229,13 +229,12 @@
 	}
 	if err != nil {
 		run.Finished(nil, time.Now())
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			p.router.opts.Guard.GiveUp(server.ID, p.suspect, time.Now())
-		}
-		if plain.IsErrBroken(err) && ctx.Err() == nil {
+		case plain.IsErrBroken(err):
 			p.router.NoteDeath(ctx, server, err)
-		}
-		if p.guarded && plain.IsErrNotSent(err) && ctx.Err() == nil {
+		case p.guarded && plain.IsErrNotSent(err):
 			p.router.noteUnreachable(ctx, server)
 		}
 		return err
@@ -310,7 +309,7 @@
 	if isLate(err) {
 		return nil
 	}
-	if p.failed.isLast(now, func(since time.Time) time.Time { return since.Add(serverWait(p.guarded, p.handed)) }) {
+	if p.failed.isLast(now, p.failed.unsentSince.Add(serverWait(p.guarded, p.handed))) {
 		return p.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
 	if !plain.IsErrNotSent(err) && !p.router.takeRetry() {
--- a/internal/router/tries.go
+++ b/internal/router/tries.go
@@ -24,10 +24,10 @@
 	t.unsent++
 }
 
-// isLast reports whether the attempt added last was the last; giveUpAt returns until when a request waits that waits since a time.
-func (t *tries) isLast(now time.Time, giveUpAt func(since time.Time) time.Time) bool {
+// isLast reports whether the attempt added last was the last; giveUpAt is until when a request waits that waits since unsentSince.
+func (t *tries) isLast(now, giveUpAt time.Time) bool {
 	if t.unsent > 0 {
-		return now.After(giveUpAt(t.unsentSince))
+		return now.After(giveUpAt)
 	}
 	return t.sent >= maxAttempts
 }
--- a/internal/router/tries_test.go
+++ b/internal/router/tries_test.go
@@ -1,10 +1,14 @@
 package router
 
 import (
+	"errors"
+	"io"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/engine"
 )
 
 func TestTries(t *testing.T) {
@@ -14,19 +18,19 @@
 	for range 20 {
 		unsent.add(true, now)
 	}
-	qt.Check(t, unsent.isLast(now.Add(noServerWait), giveUpAt), qt.IsFalse, qt.Commentf("what no server got is bounded by time alone"))
-	qt.Check(t, unsent.isLast(now.Add(noServerWait+1), giveUpAt), qt.IsTrue)
+	qt.Check(t, unsent.isLast(now.Add(noServerWait), giveUpAt(unsent.unsentSince)), qt.IsFalse, qt.Commentf("what no server got is bounded by time alone"))
+	qt.Check(t, unsent.isLast(now.Add(noServerWait+1), giveUpAt(unsent.unsentSince)), qt.IsTrue)
 	unsent.add(false, now)
-	qt.Check(t, unsent.isLast(now.Add(time.Hour), giveUpAt), qt.IsFalse, qt.Commentf("a server got it meanwhile"))
+	qt.Check(t, unsent.isLast(now.Add(time.Hour), giveUpAt(unsent.unsentSince)), qt.IsFalse, qt.Commentf("a server got it meanwhile"))
 	unsent.add(true, now.Add(time.Hour))
-	qt.Check(t, unsent.isLast(now.Add(time.Hour), giveUpAt), qt.IsFalse)
+	qt.Check(t, unsent.isLast(now.Add(time.Hour), giveUpAt(unsent.unsentSince)), qt.IsFalse)
 
 	var sent tries
 	for i := range maxAttempts {
-		qt.Check(t, sent.isLast(now, giveUpAt), qt.IsFalse, qt.Commentf("after %d", i))
+		qt.Check(t, sent.isLast(now, giveUpAt(sent.unsentSince)), qt.IsFalse, qt.Commentf("after %d", i))
 		sent.add(false, now)
 	}
-	qt.Check(t, sent.isLast(now, giveUpAt), qt.IsTrue)
+	qt.Check(t, sent.isLast(now, giveUpAt(sent.unsentSince)), qt.IsTrue)
 }
 
 func TestWaitsOfTriesGrow(t *testing.T) {
@@ -43,3 +47,10 @@
 	failed.add(false, time.Time{})
 	qt.Check(t, failed.wait(false), qt.Equals, retryWait)
 }
+
+func TestDeathOfAServerIsNoUnsentAttempt(t *testing.T) {
+	notSent := &engine.ErrNotSent{Cause: errors.New("connection refused")}
+	qt.Check(t, isUnsent(engine.Error.Wrap(notSent)), qt.IsTrue)
+	qt.Check(t, isUnsent(engine.Error.Wrap(&errServerDied{cause: notSent})), qt.IsFalse)
+	qt.Check(t, isUnsent(&engine.ErrBroken{Cause: io.EOF}), qt.IsFalse)
+}
