--- a/internal/dev/deaths_test.go
+++ b/internal/dev/deaths_test.go
@@ -34,6 +34,22 @@
 	})
 }
 
+// checkOutlasted checks that every stream came whole, but for a few refused at their deadline of 8 s, which holds for those whose
+// first token had not come when servers died.
+func checkOutlasted(t *testing.T, results []streamResult, mayBeRefused int) {
+	t.Helper()
+	refused := 0
+	for i, result := range results {
+		if result.status == http.StatusGatewayTimeout {
+			refused++
+			continue
+		}
+		qt.Check(t, result.whole(), qt.IsTrue, qt.Commentf("caller %d after %s: %s", i, result.took, tail(result.body)))
+	}
+	qt.Check(t, refused <= mayBeRefused, qt.IsTrue, qt.Commentf("%d refused", refused))
+	t.Logf("slowest answer after %s, %d refused", longest(results), refused)
+}
+
 // TestStreamsOutlastDeathsTogether lets two servers and a node die at once: the other nodes' streams wait until the dead node no
 // longer counts as one that could tell what ran on the servers, and go on.
 func TestStreamsOutlastDeathsTogether(t *testing.T) {
@@ -46,17 +62,7 @@
 			b.net.Kill("127.1.2.4")
 			b.system.KillNode(2)
 		})
-		t.Logf("slowest answer after %s", longest(results))
-		refused := 0
-		for i, result := range results {
-			if result.status == http.StatusGatewayTimeout {
-				// Its first token had not come when the servers died, so that its deadline of 8 s holds.
-				refused++
-				continue
-			}
-			qt.Check(t, result.whole(), qt.IsTrue, qt.Commentf("caller %d after %s: %s", i, result.took, tail(result.body)))
-		}
-		qt.Check(t, refused <= 2, qt.IsTrue, qt.Commentf("%d refused", refused))
+		checkOutlasted(t, results, 2)
 	})
 }
 
@@ -83,17 +89,7 @@
 					}
 				}
 				qt.Check(t, down, qt.Equals, 2)
-				refused := 0
-				for i, result := range results {
-					if result.status == http.StatusGatewayTimeout {
-						// Its first token had not come when its server died, so that its deadline of 8 s holds.
-						refused++
-						continue
-					}
-					qt.Check(t, result.whole(), qt.IsTrue, qt.Commentf("caller %d after %s: %s", i, result.took, tail(result.body)))
-				}
-				qt.Check(t, refused <= 1, qt.IsTrue, qt.Commentf("%d refused", refused))
-				t.Logf("slowest answer after %s, %d refused", longest(results), refused)
+				checkOutlasted(t, results, 1)
 			})
 		})
 	}
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -73,8 +73,8 @@
 		entry := logger.WithFields(log.Fields{
 			"server": string(server.ID), "state": string(state), "before": string(before), "in_flight": server.InFlight(),
 		})
-		if measured := server.Report().MeasuredAt; !measured.IsZero() {
-			entry = entry.WithField("report_age", now.Sub(measured).Round(time.Millisecond).String())
+		if age, ok := server.ReportAge(now); ok {
+			entry = entry.WithField("report_age", age.String())
 		}
 		entry.Info("server state changed")
 	}
--- a/internal/play/play_test.go
+++ b/internal/play/play_test.go
@@ -3,9 +3,7 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
-	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +13,6 @@
 	"github.com/monsoonrail/monsoonrail/internal/dev"
 	"github.com/monsoonrail/monsoonrail/internal/fake/memfault"
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
-	"github.com/monsoonrail/monsoonrail/internal/report"
 	"github.com/monsoonrail/monsoonrail/internal/trace"
 )
 
@@ -174,19 +171,20 @@
 	}
 }
 
-// playInMemory plays a trace on a network in memory.
-func playInMemory(t *testing.T, played *trace.Trace) *report.Report {
+// playInMemory plays a trace on a network in memory, in virtual time; no promise may break.
+func playInMemory(t *testing.T, played *trace.Trace, system dev.Options) {
 	t.Helper()
-	config, err := fleet.Load("../../examples/" + map[string]string{"west-mids": "commons", "sur": "carrasco"}[played.Header.Fleet])
-	qt.Assert(t, err, qt.IsNil)
-	made, err := Run(t.Context(), Options{
-		Trace:   played,
-		System:  dev.Options{Config: config, Nodes: 3, Engines: 8, Plains: 4, Seed: 1},
-		Network: memfault.New(),
-		OnFault: func(text string) { t.Logf("%s %s", time.Now().Format("15:04:05"), text) },
+	synctest.Test(t, func(t *testing.T) {
+		made, err := Run(t.Context(), Options{
+			Trace:   played,
+			System:  system,
+			Network: memfault.New(),
+			OnFault: func(text string) { t.Logf("%s %s", time.Now().Format("15:04:05"), text) },
+		})
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("%+v, refusals %v, resumes %d, retries %d, exposure %d", made.Verdict, made.Refusals, made.Resumes, made.Retries, made.Exposure)
+		qt.Assert(t, made.Broken, qt.HasLen, 0)
 	})
-	qt.Assert(t, err, qt.IsNil)
-	return made
 }
 
 // TestPlay plays a part of the calls of each trace, with all of its faults, in virtual time.
@@ -199,11 +197,9 @@
 			read, err := trace.ReadFile(pathOf(name))
 			qt.Assert(t, err, qt.IsNil)
 			squeeze(t, read)
-			synctest.Test(t, func(t *testing.T) {
-				made := playInMemory(t, read)
-				t.Logf("%+v, refusals %v, resumes %d, retries %d, exposure %d", made.Verdict, made.Refusals, made.Resumes, made.Retries, made.Exposure)
-				qt.Assert(t, made.Broken, qt.HasLen, 0)
-			})
+			config, err := fleet.Load("../../examples/" + map[string]string{"west-mids": "commons", "sur": "carrasco"}[read.Header.Fleet])
+			qt.Assert(t, err, qt.IsNil)
+			playInMemory(t, read, dev.Options{Config: config, Nodes: 3, Engines: 8, Plains: 4, Seed: 1})
 		})
 	}
 }
@@ -211,12 +207,7 @@
 // squeeze leaves every nth entry of a trace, so that its faults and its shape stay.
 func squeeze(t *testing.T, read *trace.Trace) {
 	t.Helper()
-	keep := 200
-	if text := os.Getenv(entriesEnv); text != "" {
-		var err error
-		keep, err = strconv.Atoi(text)
-		qt.Assert(t, err, qt.IsNil)
-	}
+	keep := int(numberOf(t, entriesEnv, 200))
 	step := max(len(read.Entries)/keep, 1)
 	var kept []trace.Entry
 	for i := 0; i < len(read.Entries); i += step {
--- a/internal/play/site_faults_test.go
+++ b/internal/play/site_faults_test.go
@@ -15,6 +15,12 @@
 	trace.FaultStoreLoses, trace.FaultLateAndCross, trace.FaultCutNodes, trace.FaultPoison,
 }
 
+// nodeStops and serverStops are the kinds that keep a node or a server from taking part.
+var (
+	nodeStops   = []trace.FaultKind{trace.FaultKillNode, trace.FaultDrainNode, trace.FaultCutNodes}
+	serverStops = []trace.FaultKind{trace.FaultKillServer, trace.FaultLeaveServer}
+)
+
 // drawFaults draws a day that holds every kind of fault the given number of times, in any order, some at once. A target meets
 // one fault at a time, and at least one node and half of each service's servers run at any moment.
 func drawFaults(rng *rand.Rand, s site, times int) []trace.Fault {
@@ -46,12 +52,12 @@
 	if rng.IntN(2) == 0 {
 		server = fmt.Sprintf("%s-%d", sitePlain, 1+rng.IntN(s.plains))
 	}
-	switch kind {
-	case trace.FaultKillNode, trace.FaultDrainNode, trace.FaultCutNodes:
+	switch {
+	case slices.Contains(nodeStops, kind):
 		return node
-	case trace.FaultKillServer, trace.FaultLeaveServer:
+	case slices.Contains(serverStops, kind):
 		return server
-	case trace.FaultSilence:
+	case kind == trace.FaultSilence:
 		return []string{"", node, server}[rng.IntN(3)]
 	}
 	return ""
@@ -59,24 +65,23 @@
 
 // allowed tells whether a fault leaves enough of the site running beside those of the day that are not over yet.
 func allowed(s site, day []trace.Fault, drawn trace.Fault) bool {
-	stops := []trace.FaultKind{trace.FaultKillNode, trace.FaultDrainNode, trace.FaultKillServer, trace.FaultLeaveServer, trace.FaultCutNodes}
 	nodes, servers := 0, 0
-	count := func(f trace.Fault) {
-		switch f.Kind {
-		case trace.FaultKillNode, trace.FaultDrainNode, trace.FaultCutNodes:
+	count := func(f trace.Fault) (stops bool) {
+		switch {
+		case slices.Contains(nodeStops, f.Kind):
 			nodes++
-		case trace.FaultKillServer, trace.FaultLeaveServer:
+		case slices.Contains(serverStops, f.Kind):
 			servers++
+		default:
+			return false
 		}
+		return true
 	}
 	for _, before := range day {
-		if before.At+before.For+restartTime < drawn.At || !slices.Contains(stops, before.Kind) {
-			continue
-		}
-		if before.Target == drawn.Target {
+		isOver := before.At+before.For+restartTime < drawn.At
+		if !isOver && count(before) && before.Target == drawn.Target {
 			return false
 		}
-		count(before)
 	}
 	count(drawn)
 	return nodes < s.nodes && servers <= min(s.engines, s.plains)/2
--- a/internal/play/site_test.go
+++ b/internal/play/site_test.go
@@ -9,15 +9,12 @@
 	"slices"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/dev"
-	"github.com/monsoonrail/monsoonrail/internal/fake/memfault"
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
-	"github.com/monsoonrail/monsoonrail/internal/report"
 	"github.com/monsoonrail/monsoonrail/internal/trace"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -102,7 +99,6 @@
 
 	slowServers := plainSite()
 	slowServers.speed, slowServers.slots = 4, 3
-	slowServers.work.Classes = []trace.ClassShape{queries, letters}
 	for i := range slowServers.work.Classes {
 		slowServers.work.Classes[i].Deadline *= 10
 	}
@@ -165,23 +161,19 @@
 	}
 	// A full batch works at 0.7 of an engine's speed.
 	capacity := 0.7 * float64(s.engines*s.slots) * s.speed / (tokens / weights)
-	chats := siteUse * capacity / math.Max(1-s.work.PlainShare, 0.01)
-	return math.Min(chats, plainRate)
+	chats := siteUse * capacity / max(1-s.work.PlainShare, 0.01)
+	return min(chats, plainRate)
 }
 
 // play plays a day of the site in virtual time.
-func (s site) play(t *testing.T, seed uint64) *report.Report {
+func (s site) play(t *testing.T, seed uint64) {
 	t.Helper()
-	s.work.Rate = s.rate()
-	if len(s.faults) > 0 {
-		last := s.faults[len(s.faults)-1]
-		s.work.Rate = math.Min(s.work.Rate, float64(s.calls)/(last.At+last.For+restoreTime).Seconds())
-	}
+	last := s.faults[len(s.faults)-1]
+	s.work.Rate = min(s.rate(), float64(s.calls)/(last.At+last.For+restoreTime).Seconds())
 	recorded, err := trace.Generate(trace.GenerateOptions{
 		Deployment: s.work, Seed: seed, Entries: s.calls, Faults: s.faults, Outcome: trace.Outcome{RefusedShare: siteRefused},
 	})
 	qt.Assert(t, err, qt.IsNil)
-	var made *report.Report
 	var logs io.Writer
 	if path := os.Getenv("SITE_LOG"); path != "" {
 		file, err := os.Create(path)
@@ -189,20 +181,10 @@
 		defer file.Close()
 		logs = file
 	}
-	synctest.Test(t, func(t *testing.T) {
-		made, err = Run(t.Context(), Options{
-			Trace: recorded,
-			System: dev.Options{
-				Config: s.config(), Nodes: s.nodes, Engines: s.engines, Plains: s.plains, EngineSpeed: s.speed, EngineSlots: s.slots, Seed: seed, LogOutput: logs,
-			},
-			Network: memfault.New(),
-			OnFault: func(text string) { t.Logf("%s %s", time.Now().Format("15:04:05"), text) },
-		})
-		qt.Assert(t, err, qt.IsNil)
-		t.Logf("%+v, refusals %v, resumes %d, retries %d", made.Verdict, made.Refusals, made.Resumes, made.Retries)
-		qt.Check(t, made.Broken, qt.HasLen, 0)
+	playInMemory(t, recorded, dev.Options{
+		Config: s.config(), Nodes: s.nodes, Engines: s.engines, Plains: s.plains, EngineSpeed: s.speed, EngineSlots: s.slots, Seed: seed,
+		LogOutput: logs,
 	})
-	return made
 }
 
 // drawSite draws a site of any shape.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -36,7 +36,7 @@
 	if suspect, ok := g.suspects[f]; ok {
 		crashes, last := suspect.count(now)
 		if crashes >= MaxCrashes {
-			return VerdictRefused, last.Add(ReleaseAfter).Sub(now)
+			return VerdictRefused, last.At.Add(ReleaseAfter).Sub(now)
 		}
 		if crashes > 0 {
 			return VerdictGuarded, 0
@@ -82,20 +82,22 @@
 // yields reports whether a request lets others go first to its place. Of those that ran on a server which died, the one that
 // crashed it has most likely only just come there. If it crashes its place too, those that let it go first weren't there.
 func (g *Guard) yields(f Fingerprint, place api.ServerID, pool []Member, now time.Time) bool {
-	crash, ok := g.lastCrash(f, now)
+	suspect, ok := g.suspects[f]
+	if !ok {
+		return false
+	}
+	crashes, crash := suspect.count(now)
 	since := now.Sub(crash.At)
-	if !ok || crash.Young || since >= yieldFor {
+	if crashes == 0 || crash.Young || since >= yieldFor {
 		return false
 	}
 	if since < newsWithin {
 		return true
 	}
-	for other := range g.suspects {
-		last, ok := g.lastCrash(other, now)
-		if !ok || !last.Young || last.Server != crash.Server || last.At.Sub(crash.At).Abs() > clockSkew {
-			continue
-		}
-		if crashes, _ := g.suspects[other].count(now); crashes >= MaxCrashes {
+	for other, suspect := range g.suspects {
+		crashes, last := suspect.count(now)
+		sameDeath := last.Server == crash.Server && last.At.Sub(crash.At).Abs() <= clockSkew
+		if !last.Young || !sameDeath || crashes >= MaxCrashes {
 			continue
 		}
 		if next, ok := g.place(other, pool, now); ok && next == place {
@@ -105,20 +107,6 @@
 	return false
 }
 
-// lastCrash returns the last crash that speaks against a fingerprint.
-func (g *Guard) lastCrash(f Fingerprint, now time.Time) (last Crash, ok bool) {
-	suspect, ok := g.suspects[f]
-	if !ok {
-		return Crash{}, false
-	}
-	for _, crash := range suspect.Crashes {
-		if suspect.counts(crash, now) && crash.At.After(last.At) {
-			last = crash
-		}
-	}
-	return last, last.Server != ""
-}
-
 // place is Place for a request that lets nobody go first.
 func (g *Guard) place(f Fingerprint, pool []Member, now time.Time) (api.ServerID, bool) {
 	first := g.firstDeath(f, pool, now)
@@ -174,7 +162,7 @@
 func (g *Guard) RetryAfter(f Fingerprint, now time.Time) time.Duration {
 	if suspect, ok := g.suspects[f]; ok {
 		if crashes, last := suspect.count(now); crashes > 0 {
-			return last.Add(ReleaseAfter).Sub(now)
+			return last.At.Add(ReleaseAfter).Sub(now)
 		}
 	}
 	return 2 * HeardWithin
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -89,15 +89,15 @@
 	ClearedAt time.Time
 }
 
-// count returns the number of servers that died since the suspicion was cleared, and when the last did.
-func (s *Suspicion) count(now time.Time) (crashes int, last time.Time) {
+// count returns the number of servers that died since the suspicion was cleared, and the last of these crashes.
+func (s *Suspicion) count(now time.Time) (crashes int, last Crash) {
 	for _, crash := range s.Crashes {
 		if !s.counts(crash, now) {
 			continue
 		}
 		crashes++
-		if crash.At.After(last) {
-			last = crash.At
+		if crash.At.After(last.At) {
+			last = crash
 		}
 	}
 	return crashes, last
--- a/internal/promises/poison_test.go
+++ b/internal/promises/poison_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +16,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/dev"
 	"github.com/monsoonrail/monsoonrail/internal/fake/script"
+	"github.com/monsoonrail/monsoonrail/internal/fleet"
 	"github.com/monsoonrail/monsoonrail/internal/poison"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -140,27 +139,31 @@
 	}
 }
 
+// play runs the plan against a system of its own and returns the servers that the request crashed, and what went wrong besides.
+func (p poisonPlan) play(t *testing.T, config *fleet.Config) (crashed []api.ServerID, notes []string) {
+	synctest.Test(t, func(t *testing.T) {
+		w, err := newWorld(Options{Config: config, Change: func(o *dev.Options) { o.Engines = poisonEngines }})
+		qt.Assert(t, err, qt.IsNil)
+		defer w.close()
+		ctx, stop := context.WithCancel(context.Background())
+		var restarts sync.WaitGroup
+		restarts.Go(func() { w.restartServers(ctx) })
+		defer restarts.Wait()
+		defer stop()
+		time.Sleep(warmUp)
+		crashed = p.run(w)
+		notes = w.history.notes
+	})
+	return crashed, notes
+}
+
 // TestPoisonPlans lets a caller resend a request that crashes servers while nodes are cut from each other and servers die of other
 // causes: it crashes two servers at most.
 func TestPoisonPlans(t *testing.T) {
 	config := loadConfig(t)
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := drawPoisonPlan(rt)
-		var crashed []api.ServerID
-		var notes []string
-		synctest.Test(t, func(t *testing.T) {
-			w, err := newWorld(Options{Config: config, Change: func(o *dev.Options) { o.Engines = poisonEngines }})
-			qt.Assert(t, err, qt.IsNil)
-			defer w.close()
-			ctx, stop := context.WithCancel(context.Background())
-			var restarts sync.WaitGroup
-			restarts.Go(func() { w.restartServers(ctx) })
-			defer restarts.Wait()
-			defer stop()
-			time.Sleep(warmUp)
-			crashed = plan.run(w)
-			notes = w.history.notes
-		})
+		crashed, notes := plan.play(t, config)
 		if len(crashed) > poison.MaxCrashes || len(notes) > 0 {
 			rt.Fatalf("crashed %v, %s\n%+v", crashed, strings.Join(notes, "; "), plan)
 		}
@@ -168,31 +171,14 @@
 }
 
 // TestPoisonGivenUpAtItsDeadline is a drawn plan that was red once: a request's deadline passes in the moment in which it crashes its
-// second server. POISON_LOG=FILE keeps the nodes' logs.
+// second server.
 func TestPoisonGivenUpAtItsDeadline(t *testing.T) {
 	ms := time.Millisecond
 	plan := poisonPlan{
 		sends:  []poisonSend{{0, 3 * time.Second}, {0, 0}, {0, 87 * ms}, {0, 0}, {2, 28 * ms}},
 		faults: []poisonFault{{476 * ms, 8503 * ms, 0, 2, 1}, {4 * ms, 7247 * ms, 2, 0, 0}, {3 * ms, 7495 * ms, 2, 2, 2}},
 	}
-	var logs io.Writer
-	if path := os.Getenv("POISON_LOG"); path != "" {
-		file, err := os.Create(path)
-		qt.Assert(t, err, qt.IsNil)
-		defer file.Close()
-		logs = file
-	}
-	config := loadConfig(t)
-	synctest.Test(t, func(t *testing.T) {
-		w, err := newWorld(Options{Config: config, Change: func(o *dev.Options) { o.Engines, o.LogOutput = poisonEngines, logs }})
-		qt.Assert(t, err, qt.IsNil)
-		defer w.close()
-		ctx, stop := context.WithCancel(context.Background())
-		var restarts sync.WaitGroup
-		restarts.Go(func() { w.restartServers(ctx) })
-		defer restarts.Wait()
-		defer stop()
-		time.Sleep(warmUp)
-		qt.Check(t, len(plan.run(w)) <= poison.MaxCrashes, qt.IsTrue)
-	})
+	crashed, notes := plan.play(t, loadConfig(t))
+	qt.Check(t, len(crashed) <= poison.MaxCrashes, qt.IsTrue, qt.Commentf("%v", crashed))
+	qt.Check(t, notes, qt.HasLen, 0)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,6 +108,12 @@
 	return s.report
 }
 
+// ReportAge returns how old the newest report is, by the server's clock; ok is false if there was none.
+func (s *Server) ReportAge(now time.Time) (age time.Duration, ok bool) {
+	measured := s.Report().MeasuredAt
+	return now.Sub(measured).Round(time.Millisecond), !measured.IsZero()
+}
+
 // SetReport stores a report unless a newer one is there. One that is older by more than a report can lag comes from a
 // server whose clock was set back.
 func (s *Server) SetReport(report Report) {
--- a/internal/router/explain.go
+++ b/internal/router/explain.go
@@ -30,13 +30,13 @@
 // short rounds a duration to what a reader of a log needs.
 func short(d time.Duration) string { return d.Round(time.Microsecond).String() }
 
-// reportAge returns how old a server's newest report is, by the server's clock; empty if there was none.
+// reportAge returns how old a server's newest report is; empty if there was none.
 func reportAge(server *registry.Server, now time.Time) string {
-	report := server.Report()
-	if report.MeasuredAt.IsZero() {
+	age, ok := server.ReportAge(now)
+	if !ok {
 		return ""
 	}
-	return now.Sub(report.MeasuredAt).Round(time.Millisecond).String()
+	return age.String()
 }
 
 // explainAdmitted tells that a request was let in, and how long it waited.
