--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -59,8 +59,7 @@
 	defer reader.Close()
 	part, text, err := reader.Whole(req.Context())
 	if err != nil {
-		s.explainLeft(ans, reader.Offset())
-		return
+		s.abort(ans, reader.Offset())
 	}
 	if problem := partProblem(ans, part); problem != nil {
 		s.refuse(w, problem)
@@ -86,8 +85,7 @@
 	offset, restarts := reader.Offset(), reader.Restarts()
 	part, err := reader.Next(req.Context())
 	if err != nil {
-		s.explainLeft(ans, offset)
-		return
+		s.abort(ans, offset)
 	}
 	if problem := partProblem(ans, part); problem != nil && len(part.Chunks) == 0 {
 		s.refuse(w, problem)
--- a/internal/caller/explain.go
+++ b/internal/caller/explain.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"net/http"
+
 	"github.com/apex/log"
 	"github.com/google/uuid"
 
@@ -31,9 +33,11 @@
 	}).Info(msgProblem)
 }
 
-// explainLeft tells that a caller's connection ended first, and how far it had read.
-func (s *Server) explainLeft(ans *answer.Answer, offset int) {
+// abort ends the connection of a caller that left before the answer's end, and logs how far it had read. Returning instead
+// would send an empty answer with status 200, which a caller that still reads takes for a whole one.
+func (s *Server) abort(ans *answer.Answer, offset int) {
 	s.log().WithFields(log.Fields{
 		"request": string(ans.ID), "offset": offset, "chunks": ans.Len(),
 	}).Info(msgLeft)
+	panic(http.ErrAbortHandler)
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -72,8 +72,7 @@
 	defer reader.Close()
 	part, body, err := reader.Whole(req.Context())
 	if err != nil {
-		s.explainLeft(ans, offset)
-		return
+		s.abort(ans, offset)
 	}
 	if problem := partProblem(ans, part); problem != nil {
 		s.refuse(w, problem)
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -134,13 +134,11 @@
 			return
 		}
 		if events.flush() != nil {
-			s.explainLeft(ans, at.offset)
-			return
+			s.abort(ans, at.offset)
 		}
 		var ok bool
 		if part, ok = nextPart(ctx, events, reader); !ok {
-			s.explainLeft(ans, at.offset)
-			return
+			s.abort(ans, at.offset)
 		}
 	}
 }
