--- a/internal/capacity/rating_test.go
+++ b/internal/capacity/rating_test.go
@@ -17,9 +17,9 @@
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/fake/ratingfake"
 	"github.com/monsoonrail/monsoonrail/internal/rating"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // ratingsPerSecond is what a node hands in by default.
@@ -45,12 +45,12 @@
 			return api.Incarnation(fmt.Sprintf("00000000-0000-4000-8000-%012d", node))
 		}
 		poller := rating.NewPoller(rating.PollerOptions{
-			Client: platform.NewRatings(base, &http.Client{Transport: own}), Source: source(0), Handle: func(rating.Rating) {},
+			Client: standalone.NewRatings(base, &http.Client{Transport: own}), Source: source(0), Handle: func(rating.Rating) {},
 			Rand: rand.New(rand.NewPCG(1, 1)), Log: quiet,
 		})
 		var duties sync.WaitGroup
 		duties.Go(func() { _ = poller.Run(ctx) })
-		client := platform.NewRatings(base, &http.Client{Transport: others})
+		client := standalone.NewRatings(base, &http.Client{Transport: others})
 		seconds := int(lasting().Seconds())
 		for i := range seconds * ratingsPerSecond {
 			for node := range nodes {
--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -14,9 +14,9 @@
 	"github.com/monsoonrail/monsoonrail/internal/acceptance"
 	"github.com/monsoonrail/monsoonrail/internal/configlog"
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // configOptions holds the subcommands of "monsoonrail config".
@@ -81,7 +81,7 @@
 	defer cancel()
 	transport := tcp.NewTransport(tcp.System{})
 	defer transport.CloseIdleConnections()
-	store := platform.NewStore(platform.StoreOptions{Endpoints: f.Endpoints, Client: &http.Client{Transport: transport}})
+	store := standalone.NewStore(standalone.StoreOptions{Endpoints: f.Endpoints, Client: &http.Client{Transport: transport}})
 	changes := configlog.New(store, configlog.DefaultPrefix)
 	logger := &log.Logger{Handler: text.New(std.err), Level: log.WarnLevel}
 	return do(ctx, configService{Acceptor: acceptance.New(changes, nil, logger), changes: changes})
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -7,8 +7,8 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/node"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 type serveOptions struct {
@@ -36,7 +36,7 @@
 	defer stop()
 	logger, lines := o.Settings.Log.Open(o.std.out)
 	defer lines.Close()
-	outside := platform.New(platform.Options{Settings: o.Settings.Platform, Network: tcp.System{}, Log: logger})
+	outside := standalone.New(standalone.Options{Settings: o.Settings.Platform, Network: tcp.System{}, Log: logger})
 	defer outside.Close()
 	running, err := node.New(ctx, node.Options{
 		Settings: o.Settings, Platform: outside.Platform, Network: tcp.System{}, Log: logger,
--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -11,8 +11,8 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/node"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // Secrets of every system that runs in one process; nothing outside of it trusts them.
@@ -75,7 +75,7 @@
 		return Error.Wrap(s.opts.Runner.StartNode(ctx, i, settings))
 	}
 	network := s.opts.Networks(s.ip(hostNode, i+1))
-	outside := platform.New(platform.Options{
+	outside := standalone.New(standalone.Options{
 		Settings: settings.Platform, Network: network, Log: s.log.WithField("node", settings.Node.ID),
 	})
 	started, err := node.New(ctx, node.Options{
--- a/internal/fake/kvfake/handler.go
+++ b/internal/fake/kvfake/handler.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/platform/kvwire"
+	"github.com/monsoonrail/monsoonrail/internal/standalone/kvwire"
 )
 
 // requestError is a refusal of a request that can never succeed.
--- a/internal/fake/kvfake/store.go
+++ b/internal/fake/kvfake/store.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/platform/kvwire"
+	"github.com/monsoonrail/monsoonrail/internal/standalone/kvwire"
 )
 
 // store reaches a Service without HTTP.
--- a/internal/fake/listnodes/group.go
+++ b/internal/fake/listnodes/group.go
@@ -17,10 +17,10 @@
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/fake/vmlistfake"
 	"github.com/monsoonrail/monsoonrail/internal/peer"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/vmlist"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // Error is the class of every error of the package.
@@ -121,7 +121,7 @@
 	transport := tcp.NewTransport(network)
 	g.closes = append(g.closes, transport.CloseIdleConnections)
 	opts := vmlist.PollerOptions{
-		Client:         platform.NewVMList(fmt.Sprintf("http://%s:%d", ListIP, listPort), &http.Client{Transport: transport}),
+		Client:         standalone.NewVMList(fmt.Sprintf("http://%s:%d", ListIP, listPort), &http.Client{Transport: transport}),
 		BytesPerSecond: g.opts.BytesPerSecond, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Log: g.log, Metrics: node.Metrics,
 	}
 	if !g.opts.IsAlone {
--- a/internal/follower/gateway_test.go
+++ b/internal/follower/gateway_test.go
@@ -16,7 +16,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/fleet"
 	"github.com/monsoonrail/monsoonrail/internal/follower"
 	"github.com/monsoonrail/monsoonrail/internal/peer"
-	"github.com/monsoonrail/monsoonrail/platform"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 )
 
 // TestOverTheGateway follows changes over the service's own protocol, on a node without peers.
@@ -24,7 +24,7 @@
 	service := kvfake.New()
 	server := httptest.NewServer(service)
 	defer server.Close()
-	changes := configlog.New(platform.NewStore(platform.StoreOptions{Endpoints: []string{server.URL}, Client: &http.Client{}}), configlog.DefaultPrefix)
+	changes := configlog.New(standalone.NewStore(standalone.StoreOptions{Endpoints: []string{server.URL}, Client: &http.Client{}}), configlog.DefaultPrefix)
 	f := follower.New(follower.Options{
 		Self: peer.Member{Node: "n", Incarnation: "n-1"}, Log: changes, Logger: quiet, Metrics: metrics.NewRegistry(),
 		Rand: rand.New(rand.NewPCG(1, 1)),
--- a/internal/noderpc/noderpcpb/noderpcpbconnect/noderpc.connect.go
+++ b/internal/noderpc/noderpcpb/noderpcpbconnect/noderpc.connect.go
@@ -5,13 +5,15 @@
 package noderpcpbconnect
 
 import (
-	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	billingpb "github.com/monsoonrail/monsoonrail/internal/billing/billingpb"
-	noderpcpb "github.com/monsoonrail/monsoonrail/internal/noderpc/noderpcpb"
 	http "net/http"
 	strings "strings"
+
+	connect "connectrpc.com/connect"
+
+	billingpb "github.com/monsoonrail/monsoonrail/internal/billing/billingpb"
+	noderpcpb "github.com/monsoonrail/monsoonrail/internal/noderpc/noderpcpb"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
--- a/internal/operator/operatorpb/operatorpbconnect/operator.connect.go
+++ b/internal/operator/operatorpb/operatorpbconnect/operator.connect.go
@@ -5,12 +5,14 @@
 package operatorpbconnect
 
 import (
-	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	operatorpb "github.com/monsoonrail/monsoonrail/internal/operator/operatorpb"
 	http "net/http"
 	strings "strings"
+
+	connect "connectrpc.com/connect"
+
+	operatorpb "github.com/monsoonrail/monsoonrail/internal/operator/operatorpb"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -5,12 +5,14 @@
 package peerpbconnect
 
 import (
-	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	peerpb "github.com/monsoonrail/monsoonrail/internal/peer/peerpb"
 	http "net/http"
 	strings "strings"
+
+	connect "connectrpc.com/connect"
+
+	peerpb "github.com/monsoonrail/monsoonrail/internal/peer/peerpb"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
--- a/internal/rating/rating_test.go
+++ b/internal/rating/rating_test.go
@@ -19,12 +19,12 @@
 	"github.com/monsoonrail/monsoonrail/internal/fake/ratingfake"
 	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/internal/rating"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
-func inBubble(t *testing.T, f func(c *qt.C, service *ratingfake.Service, client *platform.Ratings)) {
+func inBubble(t *testing.T, f func(c *qt.C, service *ratingfake.Service, client *standalone.Ratings)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := memnet.New()
@@ -39,7 +39,7 @@
 			_ = web.Close()
 			time.Sleep(time.Second)
 		}()
-		f(c, service, platform.NewRatings("http://10.0.0.2:80", &http.Client{Transport: transport}))
+		f(c, service, standalone.NewRatings("http://10.0.0.2:80", &http.Client{Transport: transport}))
 	})
 }
 
@@ -48,7 +48,7 @@
 }
 
 func TestSubmitAndWait(t *testing.T) {
-	inBubble(t, func(c *qt.C, service *ratingfake.Service, client *platform.Ratings) {
+	inBubble(t, func(c *qt.C, service *ratingfake.Service, client *standalone.Ratings) {
 		ctx := context.Background()
 		service.SetLag(time.Second)
 		got, ok, err := client.SubmitAndWait(ctx, submission(1), 2*time.Second)
@@ -70,7 +70,7 @@
 
 // TestPollerReadsEachRatingOnce reads late and partial ratings, some of which come during an outage.
 func TestPollerReadsEachRatingOnce(t *testing.T) {
-	inBubble(t, func(c *qt.C, service *ratingfake.Service, client *platform.Ratings) {
+	inBubble(t, func(c *qt.C, service *ratingfake.Service, client *standalone.Ratings) {
 		ctx, cancel := context.WithCancel(context.Background())
 		var got []api.RequestID
 		poller := rating.NewPoller(rating.PollerOptions{
@@ -105,7 +105,7 @@
 // knows sources and from one that does not.
 func TestPollersReadTheirOwnRatings(t *testing.T) {
 	for _, ignores := range []bool{false, true} {
-		inBubble(t, func(c *qt.C, service *ratingfake.Service, client *platform.Ratings) {
+		inBubble(t, func(c *qt.C, service *ratingfake.Service, client *standalone.Ratings) {
 			if ignores {
 				service.IgnoreSources()
 			}
--- a/internal/rollout/weights_test.go
+++ b/internal/rollout/weights_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/rollout"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 func TestWeightsAreAskedSeldom(t *testing.T) {
@@ -24,7 +24,7 @@
 		fmt.Fprint(w, `{"Version": "tutor@v2", "Bytes": 5000}`)
 	}))
 	defer server.Close()
-	weights := rollout.NewCachedWeights(platform.NewWeightStore(server.URL, server.Client()))
+	weights := rollout.NewCachedWeights(standalone.NewWeightStore(server.URL, server.Client()))
 	for range 3 {
 		got, err := weights.Weights(t.Context(), api.VersionID{Model: "tutor", Version: "v2"})
 		qt.Assert(t, err, qt.IsNil)
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds the routes, services and teams of one configuration. It is read-only and safe for concurrent use.
+type Table struct {
+	Config Config
+	// routes holds the routes of each host, those with the longest prefix first.
+	routes   map[string][]*Route
+	services map[Service]*ServiceInfo
+	teams    map[Key]*TeamInfo
+}
+
+// NewTable indexes a configuration.
+func NewTable(cfg Config) *Table {
+	t := &Table{
+		Config:   cfg,
+		routes:   make(map[string][]*Route),
+		services: make(map[Service]*ServiceInfo, len(cfg.Services)),
+		teams:    make(map[Key]*TeamInfo),
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, routes := range t.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range cfg.Services {
+		t.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Teams {
+		for _, key := range cfg.Teams[i].Keys {
+			t.teams[key] = &cfg.Teams[i]
+		}
+	}
+	return t
+}
+
+// FindRoute returns the route with the longest prefix that begins the path, or nil.
+func (t *Table) FindRoute(host, path string) *Route {
+	for _, r := range t.routes[hostName(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// hostName returns a Host header's value in lower case and without a port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// FindTeam returns the team that holds a key, or nil.
+func (t *Table) FindTeam(key Key) *TeamInfo { return t.teams[key] }
+
+// FindService returns a service, or nil.
+func (t *Table) FindService(name Service) *ServiceInfo { return t.services[name] }
+
+// NeedsKey reports whether requests of a route carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Teams) > 0 && !r.IsPublic }
--- a/platform/client.go
+++ b/internal/standalone/client.go
@@ -1,7 +1,7 @@
-// Package platform is the one place that speaks with the users' platform: its key-value service, VM list, rating service and
-// weight store. It implements the interfaces that their users declare and decodes names on the wire once; nothing else but the
-// start of the program imports it.
-package platform
+// Package standalone speaks with the services of deployments that run without the users' platform: a key-value service with an
+// etcd gateway, a VM list, a rating service and a weight store. It implements the interfaces that their users declare; nothing
+// but the start of the program imports it.
+package standalone
 
 import (
 	"net/http"
--- a/platform/kv_codec.go
+++ b/internal/standalone/kv_codec.go
@@ -1,4 +1,4 @@
-package platform
+package standalone
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 
-	"github.com/monsoonrail/monsoonrail/platform/kvwire"
+	"github.com/monsoonrail/monsoonrail/internal/standalone/kvwire"
 )
 
 // ErrMissingResponse means that a transaction's answer does not fit the branch that ran.
--- a/platform/kv_gateway.go
+++ b/internal/standalone/kv_gateway.go
@@ -1,4 +1,4 @@
-package platform
+package standalone
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 
-	"github.com/monsoonrail/monsoonrail/platform/kvwire"
+	"github.com/monsoonrail/monsoonrail/internal/standalone/kvwire"
 )
 
 const (
--- a/platform/kv_gateway_test.go
+++ b/internal/standalone/kv_gateway_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package standalone_test
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 	"github.com/monsoonrail/monsoonrail/internal/fake/kvfake"
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 const (
@@ -45,7 +45,7 @@
 		go func() { _ = server.Serve(l) }()
 	}
 	transport := tcp.NewTransport(b.network.Host(nodeIP))
-	b.store = platform.NewStore(platform.StoreOptions{
+	b.store = standalone.NewStore(standalone.StoreOptions{
 		Endpoints: []string{"http://" + firstIP + ":2379", "http://" + secondIP + ":2379"},
 		Client:    &http.Client{Transport: transport},
 	})
@@ -205,7 +205,7 @@
 		began := time.Now()
 		_, err = b.store.Get(b.ctx, "k")
 		b.Assert(err, qt.IsNil)
-		b.Assert(time.Since(began), qt.Equals, platform.DefaultTimeout)
+		b.Assert(time.Since(began), qt.Equals, standalone.DefaultTimeout)
 		_, err = b.store.Commit(b.ctx, put("k", "w"))
 		b.Assert(err, qt.IsNil)
 	})
--- a/platform/kv_http.go
+++ b/internal/standalone/kv_http.go
@@ -1,4 +1,4 @@
-package platform
+package standalone
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 
-	"github.com/monsoonrail/monsoonrail/platform/kvwire"
+	"github.com/monsoonrail/monsoonrail/internal/standalone/kvwire"
 )
 
 // maxErrorBytes bounds the body that is read of an answer other than 200.
--- a/platform/kv_watch_test.go
+++ b/internal/standalone/kv_watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package standalone_test
 
 import (
 	"context"
@@ -10,7 +10,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 // watch collects the values under "k/" from a revision on until the watch ends.
--- a/platform/vm_list.go
+++ b/internal/standalone/vm_list.go
@@ -1,4 +1,4 @@
-package platform
+package standalone
 
 import (
 	"context"
--- a/platform/weight_store_test.go
+++ b/internal/standalone/weight_store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package standalone_test
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/fake/weightfake"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/weightstore"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 func TestWeightStore(t *testing.T) {
@@ -19,7 +19,7 @@
 	store := weightfake.New(weightstore.Rate{BytesPerSecond: 1 << 30, Waiting: 2})
 	server := httptest.NewServer(store)
 	defer server.Close()
-	client := platform.NewWeightStore(server.URL, http.DefaultClient)
+	client := standalone.NewWeightStore(server.URL, http.DefaultClient)
 	ctx := context.Background()
 	version := api.VersionID{Model: "tutor", Version: "v2"}
 	_, err := client.FindWeights(ctx, version)
--- /dev/null
+++ b/internal/upstream/events.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Event is one event of a stream as the server sent it.
+type Event struct {
+	// Raw is the event's bytes with the empty line that ends it; it holds until the next call.
+	Raw []byte
+	// ID is the event's id; empty if it has none.
+	ID string
+}
+
+// EventReader splits a stream of server-sent events without changing a byte.
+type EventReader struct {
+	in  *bufio.Reader
+	raw []byte
+}
+
+// NewEventReader returns a reader of the events of a body.
+func NewEventReader(body io.Reader) *EventReader {
+	return &EventReader{in: bufio.NewReaderSize(body, readBufferBytes)}
+}
+
+// HasBuffered reports whether more bytes have already come.
+func (r *EventReader) HasBuffered() bool { return r.in.Buffered() > 0 }
+
+// Next returns the next whole event. It returns io.EOF at the end of the stream, with what is left of an event that isn't whole
+// in Raw, and ErrEventTooLarge.
+func (r *EventReader) Next() (Event, error) {
+	r.raw = r.raw[:0]
+	event := Event{}
+	for {
+		start := len(r.raw)
+		if err := r.line(); err != nil {
+			event.Raw = r.raw
+			return event, err
+		}
+		line := bytes.TrimRight(r.raw[start:], "\r\n")
+		if len(line) == 0 {
+			event.Raw = r.raw
+			return event, nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
+	}
+}
+
+// line appends the next line, with its end, to raw.
+func (r *EventReader) line() error {
+	for {
+		part, err := r.in.ReadSlice('\n')
+		r.raw = append(r.raw, part...)
+		if len(r.raw) > maxEventBytes {
+			return Error.Wrap(&ErrEventTooLarge{MaxBytes: maxEventBytes})
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- a/internal/vmlist/poller_test.go
+++ b/internal/vmlist/poller_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/fake/vmlistfake"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/vmlist"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
-	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 func server(id string) vmlist.VM {
@@ -35,7 +35,7 @@
 		go func() { _ = web.Serve(l) }()
 		transport := tcp.NewTransport(network.Host("10.0.0.1"))
 		poller := vmlist.NewPoller(vmlist.PollerOptions{
-			Client: platform.NewVMList("http://10.0.0.2:80", &http.Client{Transport: transport}),
+			Client: standalone.NewVMList("http://10.0.0.2:80", &http.Client{Transport: transport}),
 			Rand:   rand.New(rand.NewPCG(1, 2)),
 			Log:    &log.Logger{Handler: discard.New()},
 		})
