--- /dev/null
+++ b/internal/backend/set.go
@@ -0,0 +1,79 @@
+package backend
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// Set holds the servers of all services; it is safe for concurrent use.
+type Set struct {
+	mu sync.RWMutex
+	// members holds every known server by its id.
+	members map[api.ServerID]*Member
+	// services lists those of each service that take requests, ordered by id; the lists are replaced, never changed.
+	services map[route.Service][]*Member
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{members: make(map[api.ServerID]*Member), services: make(map[route.Service][]*Member)}
+}
+
+// Replace takes in all entries. What was learnt of a server stays while it is the same start at the same address. It returns the
+// addresses that no server has any more.
+func (s *Set) Replace(servers []Server) (freed []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := make(map[api.ServerID]*Member, len(servers))
+	services := make(map[route.Service][]*Member)
+	inUse := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		known, ok := s.members[server.ID]
+		switch {
+		case !ok || known.Start != server.Start || known.Address != server.Address:
+			known = newMember(server)
+		case known.Server != server:
+			known = &Member{Server: server, state: known.state}
+		}
+		next[server.ID] = known
+		inUse[server.Address] = true
+		if !known.HasLeft() {
+			services[server.Service] = append(services[server.Service], known)
+		}
+	}
+	for _, members := range services {
+		slices.SortFunc(members, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	for _, old := range s.members {
+		if !inUse[old.Address] {
+			freed = append(freed, old.Address)
+		}
+	}
+	s.members, s.services = next, services
+	return freed
+}
+
+// Of returns the servers of a service that take requests; the caller must not change the list.
+func (s *Set) Of(service route.Service) []*Member {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.services[service]
+}
+
+// Find returns a server, or nil.
+func (s *Set) Find(id api.ServerID) *Member {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.members[id]
+}
+
+// Len counts the servers.
+func (s *Set) Len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.members)
+}
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -61,6 +61,7 @@
 		benchCommand(std),
 		configCommand(std),
 		devCommand(std),
+		edgeCommand(std),
 		replayCommand(std),
 		rollOutCommand(std),
 		serveCommand(std),
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,302 @@
+// Package edge assembles a node on the users' platform: it answers callers, follows the platform's store and stops gracefully.
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/gateway"
+	"github.com/monsoonrail/monsoonrail/internal/inforce"
+	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/mirror"
+	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/site"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/internal/supervisor"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+	"github.com/monsoonrail/monsoonrail/platform"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends a request's head; operators set 3 s.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long callers may keep a connection without a request; operators set 15 s, of which callers use four
+	// fifths.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the machine's memory above which the garbage collector works harder.
+	memoryShare = 0.6
+	// streamShare and callShare are the parts of the grace period of a stop in which new streams and calls are still let in:
+	// callers go on using the addresses that they were told.
+	streamShare = 0.3
+	callShare   = 0.8
+	// stayShare is the least part of the grace period for which a stopping node takes connections, endShare the most that it
+	// uses.
+	stayShare = 0.6
+	endShare  = 0.95
+	// maxListed bounds the addresses of an answer: callers take no more.
+	maxListed = 64
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("edge")
+
+// Options configures New.
+type Options struct {
+	Settings site.Settings
+	Network  tcp.Network
+	Log      log.Interface
+}
+
+// Node is a node on the platform.
+type Node struct {
+	opts      Options
+	log       log.Interface
+	metrics   *metric.Set
+	store     *platform.Store
+	transport *http.Transport
+	configs   *inforce.Keeper
+	mirror    *mirror.Mirror
+	backends  *backend.Set
+	pool      *upstream.Pool
+	gateway   *gateway.Gateway
+	announcer *nodelist.Announcer
+	// nodes holds those that take requests.
+	nodes atomic.Pointer[[]nodelist.Node]
+	// isStopping is set once the node was told to stop.
+	isStopping atomic.Bool
+}
+
+// New returns a node that does nothing before Run.
+func New(opts Options) *Node {
+	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet()}
+	n.nodes.Store(&[]nodelist.Node{})
+	n.transport = tcp.NewTransport(opts.Network)
+	n.store = platform.NewStore(opts.Settings.Store.Address, n.transport)
+	bounds := opts.Settings.Bounds
+	n.configs = inforce.New(inforce.Options{
+		Store: n.store, Key: platform.KeyConfig, Decode: platform.DecodeConfig,
+		Revoke: bounds.Revoke, Apply: bounds.ConfigApply, Log: opts.Log,
+	})
+	n.mirror = mirror.New(mirror.Options{
+		Store: n.store, Lapsing: platform.PrefixServers, Changed: n.changed, Log: opts.Log,
+	})
+	n.pool = upstream.NewPool(upstream.Options{Network: opts.Network, AnswerID: platform.AnswerID})
+	n.announcer = &nodelist.Announcer{
+		Store: n.store, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
+		Node: nodelist.Node{
+			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
+		},
+	}
+	n.gateway = gateway.New(gateway.Options{
+		Wire: platform.Requests{}, Pool: n.pool, Backends: n.backends, Configs: n.configs, Versions: noVersions{},
+		Budget: retrybudget.New(retrybudget.Options{
+			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, Nodes: n.countNodes,
+		}),
+		Models: gateway.LargestModel{}, FailureDomain: opts.Settings.FailureDomain, Nodes: n.countNodes,
+		Log: opts.Log, Metrics: n.metrics,
+	})
+	return n
+}
+
+// Run serves until ctx ends, and then stops gracefully within the grace period.
+func (n *Node) Run(ctx context.Context) error {
+	if limit := n.opts.Settings.Machine.MemoryBytes; limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+	n.log.WithFields(log.Fields{
+		"node": string(n.opts.Settings.Node), "failure_domain": string(n.opts.Settings.FailureDomain),
+		"callers": n.opts.Settings.Listen.Callers, "store": n.opts.Settings.Store.Address,
+	}).Info("node starts")
+	servers, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	// Duties outlive ctx: what stops gracefully still needs the store.
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	tree := supervisor.New(n.log)
+	tree.Add(supervisor.Duty{Name: "configuration", Run: n.configs.Run})
+	tree.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
+	tree.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
+	tree.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
+		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
+	}})
+	for _, s := range servers {
+		tree.Add(supervisor.Duty{Name: s.name, Run: s.run})
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- tree.Run(duties) }()
+	select {
+	case <-ctx.Done():
+		n.stop()
+	case err = <-ended:
+		ended <- err
+	}
+	endDuties()
+	<-ended
+	n.pool.Close()
+	n.transport.CloseIdleConnections()
+	n.log.Info("node ends")
+	return nil
+}
+
+// stop lets the requests end that run, for as long as the grace period allows.
+func (n *Node) stop() {
+	begin, grace := time.Now(), n.opts.Settings.Bounds.Grace
+	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
+	n.isStopping.Store(true)
+	n.gateway.Stop(begin.Add(share(streamShare)), begin.Add(share(callShare)))
+	n.log.WithField("running", n.gateway.Running()).Info("node stops")
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(share(endShare)))
+	defer cancel()
+	if err := n.announcer.Leave(ctx); err != nil {
+		n.log.WithError(err).Warn("node not taken off the list, its lease will end")
+	}
+	sleep.For(ctx, time.Until(begin.Add(share(stayShare))))
+	n.gateway.Wait(ctx)
+	n.log.WithField("running", n.gateway.Running()).Info("node stopped")
+}
+
+// httpServer is one of the node's listeners.
+type httpServer struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+func (s *httpServer) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return Error.Wrap(err)
+}
+
+func (n *Node) listen(ctx context.Context) ([]*httpServer, error) {
+	at := n.opts.Settings.Listen
+	var servers []*httpServer
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", at.Callers, n.gateway},
+		{"readiness", at.Ready, platform.ReadinessHandler(n.isReady)},
+		{"addresses", at.Addresses, platform.AddressHandler(n.addressesFor)},
+	} {
+		if s.address == "" {
+			continue
+		}
+		listener, err := n.opts.Network.Listen(ctx, s.address)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		servers = append(servers, &httpServer{name: s.name, listener: listener, server: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: nil,
+		}})
+	}
+	return servers, nil
+}
+
+// isReady reports whether the node can answer requests.
+func (n *Node) isReady() bool {
+	return !n.isStopping.Load() && n.configs.Current() != nil && n.backends.Len() > 0
+}
+
+// changed takes in changes of the store.
+func (n *Node) changed(keys []string) {
+	var servers, nodes bool
+	for _, key := range keys {
+		switch {
+		case key == platform.KeyConfig:
+			n.configs.Apply(n.mirror.Get(key))
+		case strings.HasPrefix(key, platform.PrefixServers):
+			servers = true
+		case strings.HasPrefix(key, nodelist.Prefix):
+			nodes = true
+		}
+	}
+	if servers {
+		n.readServers()
+	}
+	if nodes {
+		n.readNodes()
+	}
+}
+
+func (n *Node) readServers() {
+	var servers []backend.Server
+	for _, pair := range n.mirror.List(platform.PrefixServers) {
+		server, err := platform.DecodeServer(pair)
+		if err != nil {
+			n.log.WithError(err).Warn("server's entry left out")
+			continue
+		}
+		servers = append(servers, server)
+	}
+	for _, address := range n.backends.Replace(servers) {
+		n.pool.Drop(address)
+	}
+	n.log.WithField("servers", len(servers)).Info("servers changed")
+}
+
+func (n *Node) readNodes() {
+	var nodes []nodelist.Node
+	for _, pair := range n.mirror.List(nodelist.Prefix) {
+		node, err := nodelist.Decode(pair)
+		if err != nil {
+			n.log.WithField("key", pair.Key).WithError(err).Warn("node's entry left out")
+			continue
+		}
+		nodes = append(nodes, node)
+	}
+	n.nodes.Store(&nodes)
+	n.log.WithField("nodes", len(nodes)).Info("nodes changed")
+}
+
+func (n *Node) countNodes() int { return max(1, len(*n.nodes.Load())) }
+
+// addressesFor returns the nodes that a caller may use.
+func (n *Node) addressesFor(_ api.FailureDomain) platform.Addresses {
+	var callers []string
+	for _, node := range *n.nodes.Load() {
+		if node.ID == n.opts.Settings.Node && !n.isReady() {
+			continue
+		}
+		callers = append(callers, node.Callers)
+	}
+	if len(callers) == 0 && n.isReady() {
+		callers = append(callers, n.opts.Settings.Listen.Callers)
+	}
+	slices.Sort(callers)
+	return platform.Addresses{Callers: callers[:min(len(callers), maxListed)], TTL: addressTTL}
+}
+
+// addressTTL is how long callers keep the addresses: short against a stop's grace period, of which they use a part.
+const addressTTL = 2 * time.Second
+
+// noVersions restricts no request.
+type noVersions struct{}
+
+func (noVersions) Pick(route.Service, string, time.Time) gateway.VersionChoice {
+	return gateway.VersionChoice{}
+}
+func (noVersions) Observe(route.Service, route.ServiceVersion, bool, time.Duration) {}
--- /dev/null
+++ b/internal/inforce/inforce.go
@@ -0,0 +1,142 @@
+// Package inforce holds the operators' configuration that is in force on a node, and how new it is known to be.
+//
+// That nothing newer was accepted is proved only by a linearizable read, as of the moment at which its call was sent. Keys are trusted
+// for as long as the deployment lets revoked ones run, counted from there.
+package inforce
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/monsoonrail/monsoonrail/internal/boottime"
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+)
+
+const (
+	// proofInterval is how often the configuration is read: often enough that a change which a watch missed is in force in time.
+	proofInterval = time.Second
+	// proofRetry is the wait after a failed read.
+	proofRetry = 200 * time.Millisecond
+	// revokeMargin is left of the time for which keys are trusted, for a request on its way to a server.
+	revokeMargin = 300 * time.Millisecond
+)
+
+// Store reads a key linearizably.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Pair, error)
+}
+
+// Options configures New.
+type Options struct {
+	Store Store
+	// Key is that of the configuration.
+	Key string
+	// Decode reads the key's value.
+	Decode func(kv.Pair) (route.Config, error)
+	// Revoke is how long after its revocation a key may still run; 0 trusts keys without proof.
+	Revoke time.Duration
+	// Apply is the time within which a change is to be in force.
+	Apply time.Duration
+	Log   log.Interface
+	// Now is boottime.Now if nil.
+	Now func() boottime.Time
+}
+
+// Keeper holds the configuration in force; it is safe for concurrent use.
+type Keeper struct {
+	opts Options
+
+	// table is nil until a configuration is known.
+	table atomic.Pointer[route.Table]
+	// provenAt is the boottime.Time at which the newest read was sent; 0 before the first.
+	provenAt atomic.Int64
+
+	mu sync.Mutex
+	// rejected is the revision of the last value that could not be read, so that it is logged once.
+	rejected kv.Version
+}
+
+// New returns a keeper without a configuration.
+func New(opts Options) *Keeper {
+	opts.Log = eventlog.OrDiscard(opts.Log)
+	if opts.Now == nil {
+		opts.Now = boottime.Now
+	}
+	return &Keeper{opts: opts}
+}
+
+// Run reads the configuration again and again until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := proofInterval
+		if !k.Prove(ctx) {
+			wait = proofRetry
+		}
+		sleep.For(ctx, wait)
+	}
+	return ctx.Err()
+}
+
+// Prove reads the configuration and reports whether the store answered.
+func (k *Keeper) Prove(ctx context.Context) bool {
+	sent := k.opts.Now()
+	pair, err := k.opts.Store.Get(ctx, k.opts.Key)
+	if err != nil {
+		return false
+	}
+	if pair.Version > 0 && !k.Apply(pair) {
+		return true
+	}
+	k.provenAt.Store(int64(sent))
+	return true
+}
+
+// Apply takes in a value of the configuration, and reports false if it can't be read. One that isn't newer changes nothing.
+func (k *Keeper) Apply(pair kv.Pair) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.table.Load()
+	if old != nil && kv.Version(old.Config.Revision) >= pair.Version {
+		return true
+	}
+	cfg, err := k.opts.Decode(pair)
+	if err != nil {
+		if k.rejected != pair.Version {
+			k.rejected = pair.Version
+			k.opts.Log.WithField("revision", int64(pair.Version)).WithError(err).Error("configuration can't be read, the old one stays in force")
+		}
+		return false
+	}
+	k.table.Store(route.NewTable(cfg))
+	k.opts.Log.WithFields(log.Fields{
+		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
+	}).Info("configuration in force")
+	return true
+}
+
+// Current returns the configuration in force, nil if none is known.
+func (k *Keeper) Current() *route.Table { return k.table.Load() }
+
+// ProofAge returns the time since the newest read that proved the configuration was sent.
+func (k *Keeper) ProofAge() time.Duration {
+	proven := k.provenAt.Load()
+	if proven == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return time.Duration(k.opts.Now() - boottime.Time(proven))
+}
+
+// MayUseKeys reports whether no key can have been revoked for too long.
+func (k *Keeper) MayUseKeys() bool {
+	return k.opts.Revoke == 0 || k.ProofAge() < k.opts.Revoke-revokeMargin
+}
+
+// IsFresh reports whether the configuration is as new as it has to be.
+func (k *Keeper) IsFresh() bool { return k.ProofAge() < k.opts.Apply }
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,92 @@
+// Package placement chooses the backend server of a request. Its functions do no input or output.
+//
+// The load that it answers: many nodes place requests on the same few servers, knowing their own requests at once and the others'
+// only from reports that are late, while servers of one service differ in speed and hold different cached parts of prompts.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
+)
+
+const (
+	// reportTrust is how long a server's report counts in full; afterwards only this node's own requests are known.
+	reportTrust = 2 * time.Second
+	// failurePenalty multiplies the cost of a server that fails all requests; one that fails none costs what it costs.
+	failurePenalty = 20.0
+	// avoidedPenalty multiplies the cost of a server that is avoided, so that it is taken only if all others are as bad.
+	avoidedPenalty = 1000.0
+	// domainPenalty is what a request to another failure domain costs more, in requests ahead.
+	domainPenalty = 0.15
+	// slowestCounted bounds the learnt slowness.
+	slowestCounted = 10.0
+)
+
+// Candidate is a server that may take a request.
+type Candidate struct {
+	View  backend.View
+	Slots int
+	// IsSameDomain tells that it is in the failure domain of this node.
+	IsSameDomain bool
+	// CachedTokens is how many of the request's prompt tokens it has probably cached.
+	CachedTokens int
+	// IsTried tells that the request was sent there before.
+	IsTried bool
+}
+
+// Request is what counts of a request.
+type Request struct {
+	// Tokens is the size of the prompt; 0 for requests without a model.
+	Tokens int
+	// TokensPerSlot is how many prompt tokens delay the others as much as one more running request does.
+	TokensPerSlot float64
+}
+
+// Choose returns the index of the best candidate, or -1 if there are none. Of equal ones the first is taken, so that the order
+// of the candidates, which callers derive from the request, spreads the requests.
+func Choose(req Request, candidates []Candidate) int {
+	best, bestCost := -1, math.Inf(1)
+	for i, c := range candidates {
+		if cost := Cost(req, c); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// Cost is what a request would cost at a server, in requests ahead of it, weighed by the server's faults.
+func Cost(req Request, c Candidate) float64 {
+	ahead := Ahead(c)
+	cost := 1 + ahead
+	if over := ahead - float64(c.Slots); over > 0 {
+		// Beyond its slots a server makes requests wait for whole others.
+		cost += over
+	}
+	if req.TokensPerSlot > 0 {
+		read := float64(req.Tokens-c.CachedTokens) + float64(c.View.TokensAhead)
+		cost += read / req.TokensPerSlot
+	}
+	cost *= min(max(c.View.Slowness, 1/slowestCounted), slowestCounted)
+	if !c.IsSameDomain {
+		cost += domainPenalty
+	}
+	cost *= 1 + failurePenalty*c.View.FailureShare*c.View.FailureShare
+	if c.View.IsAvoided || c.IsTried {
+		cost *= avoidedPenalty
+	}
+	return cost
+}
+
+// Ahead estimates how many requests run or wait at a server: what it reported, corrected by this node's own since then; without a
+// fresh report, this node's own.
+func Ahead(c Candidate) float64 {
+	own := float64(c.View.InFlight)
+	if !c.View.HasLoad || c.View.LoadAge > reportTrust {
+		return own
+	}
+	reported := float64(c.View.Load.Running + c.View.Load.Waiting)
+	since := own - float64(c.View.InFlightThen)
+	return max(own, reported+since)
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -50,3 +50,21 @@
 	_, _ = d.WriteString(key)
 	return d.Sum64()
 }
+
+// Rank returns the members in the order of their rank for a key, the first choice first, in a new slice; name tells them apart.
+func Rank[M any](key string, members []M, name func(M) string) []M {
+	type ranked struct {
+		member M
+		score  uint64
+	}
+	all := make([]ranked, len(members))
+	for i, m := range members {
+		all[i] = ranked{m, score(key, name(m))}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	out := make([]M, len(all))
+	for i, r := range all {
+		out[i] = r.member
+	}
+	return out
+}
--- a/internal/standalone/kv_watch_test.go
+++ b/internal/standalone/kv_watch_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/standalone"
 )
 
 // watch collects the values under "k/" from a revision on until the watch ends.
@@ -50,9 +51,9 @@
 		settle(time.Second)
 		b.network.Silence(nodeIP, firstIP)
 		want = append(want, b.putMany(11, 20)...)
-		settle(platform.DefaultWatchAge + platform.DefaultTimeout)
+		settle(standalone.DefaultWatchAge + standalone.DefaultTimeout)
 		b.Assert(*values, qt.DeepEquals, want)
-		settle(3 * platform.DefaultWatchAge)
+		settle(3 * standalone.DefaultWatchAge)
 		want = append(want, b.putMany(21, 30)...)
 		settle(time.Second)
 		b.Assert(*values, qt.DeepEquals, want)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -86,7 +86,7 @@
 		return nil, Error.Wrap(&ErrNoAnswer{Cause: err})
 	}
 	asked := &http.Request{Method: req.Method}
-	var foreign *ErrForeignAnswer
+	foreign := &ErrForeignAnswer{Wanted: req.ID}
 	for range maxForeignAnswers + 1 {
 		resp, err := http.ReadResponse(c.reader, asked)
 		if err != nil {
@@ -100,16 +100,13 @@
 			a.Body = (*answerBody)(a)
 			return a, nil
 		} else {
-			foreign = &ErrForeignAnswer{Wanted: req.ID, Got: id}
+			foreign.Got = id
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes))
 		if err != nil || n == maxForeignBytes || resp.Close {
 			break
 		}
 	}
-	if foreign == nil {
-		return fail(errors.New("only interim answers"))
-	}
 	return fail(foreign)
 }
 
