--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,12 +22,12 @@
 	"github.com/monsoonrail/monsoonrail/internal/mirror"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
-	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/site"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 	"github.com/monsoonrail/monsoonrail/platform"
 )
@@ -75,6 +75,7 @@
 	mirror    *mirror.Mirror
 	backends  *backend.Set
 	pool      *upstream.Pool
+	rollouts  *versionrollout.Book
 	gateway   *gateway.Gateway
 	announcer *nodelist.Announcer
 	// nodes holds those that take requests.
@@ -104,8 +105,11 @@
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
 		},
 	}
+	n.rollouts = versionrollout.NewBook(versionrollout.BookOptions{
+		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, Session: bounds.Session, Log: opts.Log,
+	})
 	n.gateway = gateway.New(gateway.Options{
-		Wire: platform.Requests{}, Pool: n.pool, Backends: n.backends, Configs: n.configs, Versions: noVersions{},
+		Wire: platform.Requests{}, Pool: n.pool, Backends: n.backends, Configs: n.configs, Versions: n.rollouts,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, Nodes: n.countNodes,
 		}),
@@ -134,6 +138,7 @@
 	tree.Add(supervisor.Duty{Name: "configuration", Run: n.configs.Run})
 	tree.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
 	tree.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
+	tree.Add(supervisor.Duty{Name: "roll-outs", Run: n.runRollouts})
 	tree.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
 		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
 	}})
@@ -232,6 +237,8 @@
 			servers = true
 		case strings.HasPrefix(key, nodelist.Prefix):
 			nodes = true
+		default:
+			n.readRollout(key)
 		}
 	}
 	if servers {
@@ -292,11 +299,3 @@
 
 // addressTTL is how long callers keep the addresses: short against a stop's grace period, of which they use a part.
 const addressTTL = 2 * time.Second
-
-// noVersions restricts no request.
-type noVersions struct{}
-
-func (noVersions) Pick(route.Service, string, time.Time) gateway.VersionChoice {
-	return gateway.VersionChoice{}
-}
-func (noVersions) Observe(route.Service, route.ServiceVersion, bool, time.Duration) {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -41,18 +42,10 @@
 
 // Versions tells which version of a service's servers a request goes to, and takes in how the versions do.
 type Versions interface {
-	Pick(service route.Service, session string, now time.Time) VersionChoice
-	Observe(service route.Service, version route.ServiceVersion, good bool, took time.Duration)
-}
-
-// VersionChoice restricts a request to servers of one version, or to those of all others.
-type VersionChoice struct {
-	// Target is empty where every version may run the request.
-	Target route.ServiceVersion
-	// UseTarget restricts the request to Target; otherwise Target is barred.
-	UseTarget bool
-	// IsStrict forbids to fall back where no server fits.
-	IsStrict bool
+	Pick(service route.Service, session, id string, now time.Time) versionrollout.Choice
+	// Begin counts a request that is sent to a server until end is called.
+	Begin(service route.Service, version route.ServiceVersion) (end func())
+	Observe(outcome versionrollout.Outcome)
 }
 
 // Options configures New; every field must be set but Log.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 )
 
 const (
@@ -23,6 +24,7 @@
 func (r *run) relay(ctx context.Context, member *backend.Member, answer *upstream.Answer, offered time.Time) verdict {
 	events := upstream.NewEventReader(answer.Body)
 	control := http.NewResponseController(r.w)
+	before := r.events
 	for {
 		if err := answer.SetReadDeadline(r.silenceEnds()); err != nil {
 			return r.streamFailed(ctx, member, err, offered)
@@ -41,7 +43,7 @@
 		if isEnd {
 			r.startAnswer(answer)
 			member.Succeed()
-			r.g.opts.Versions.Observe(r.service.Name, member.Version, true, time.Since(offered))
+			r.observe(member, versionrollout.Outcome{Pace: versionrollout.Pace(time.Since(offered), r.TokensIn, r.events-before)})
 			r.explain("request answered", "")
 			return verdictDone
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,6 +14,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -46,7 +47,7 @@
 	// hasHead tells that the caller was sent the head of the answer.
 	hasHead bool
 	// choice restricts the versions of the servers.
-	choice VersionChoice
+	choice versionrollout.Choice
 	// lastFailure is a server's own failure, given to the caller where no other server does better.
 	lastFailure *wholeAnswer
 }
@@ -125,7 +126,7 @@
 // place chooses a server, or returns nil if there is none.
 func (r *run) place() *backend.Member {
 	now := time.Now()
-	r.choice = r.g.opts.Versions.Pick(r.service.Name, r.Session, now)
+	r.choice = r.g.opts.Versions.Pick(r.service.Name, r.Session, string(r.ID), now)
 	members := r.g.opts.Backends.Of(r.service.Name)
 	fitting := r.fitting(members, true)
 	if len(fitting) == 0 && !r.choice.IsStrict {
@@ -195,6 +196,7 @@
 	defer patience.Stop()
 	load := newOffer(member, r.TokensIn)
 	defer load.end()
+	defer r.g.opts.Versions.Begin(r.service.Name, member.Version)()
 	answer, err := r.g.opts.Pool.Send(sendCtx, member.Address, &upstream.Request{
 		ID: string(r.ID), Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, HasBody: r.hasBody,
 	})
@@ -241,10 +243,16 @@
 	if upstream.IsErrNotSent(err) {
 		return verdictNotRun
 	}
-	r.g.opts.Versions.Observe(r.service.Name, member.Version, false, time.Since(offered))
+	r.observe(member, versionrollout.Outcome{IsFailure: true})
 	return verdictMayHaveRun
 }
 
+// observe tells how a server answered.
+func (r *run) observe(member *backend.Member, outcome versionrollout.Outcome) {
+	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.route.Name
+	r.g.opts.Versions.Observe(outcome)
+}
+
 // take decides by the head of an answer.
 func (r *run) take(ctx context.Context, member *backend.Member, answer *upstream.Answer, offered time.Time) verdict {
 	info := r.g.opts.Wire.ReadAnswer(answer.Header)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -8,6 +8,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 )
 
 const (
@@ -31,7 +32,7 @@
 		return r.failed(member, err, offered)
 	}
 	member.Succeed()
-	r.g.opts.Versions.Observe(r.service.Name, member.Version, true, time.Since(offered))
+	r.observe(member, versionrollout.Outcome{Pace: versionrollout.Pace(time.Since(offered), 0, 0)})
 	r.send(read)
 	r.explain("request answered", "")
 	return verdictDone
@@ -47,7 +48,7 @@
 		return r.failed(member, err, offered)
 	}
 	isServers := read.status >= http.StatusInternalServerError
-	r.g.opts.Versions.Observe(r.service.Name, member.Version, !isServers, time.Since(offered))
+	r.observe(member, versionrollout.Outcome{IsFailure: isServers})
 	if isServers && r.route.MayRepeat() {
 		r.lastFailure = read
 		return verdictMayHaveRun
--- /dev/null
+++ b/internal/versionrollout/book.go
@@ -0,0 +1,391 @@
+package versionrollout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// maxRecentSessions bounds the sessions that a node remembers for each service.
+const maxRecentSessions = 20000
+
+// Choice restricts a request to servers of one version, or to those of all others.
+type Choice struct {
+	// Target is empty where every version may run the request.
+	Target route.ServiceVersion
+	// UseTarget restricts the request to Target; otherwise Target is barred.
+	UseTarget bool
+	// IsStrict forbids to fall back where no server fits.
+	IsStrict bool
+}
+
+// BookOptions configures NewBook.
+type BookOptions struct {
+	Node api.NodeID
+	// Exposure is the share of requests that a bad version may get.
+	Exposure float64
+	// Session is the pause after which a session has ended.
+	Session time.Duration
+	Log     log.Interface
+}
+
+// Book holds the roll-outs of all services on one node; it is safe for concurrent use.
+type Book struct {
+	opts BookOptions
+
+	mu sync.Mutex
+	// rollouts holds the newest order of each service.
+	rollouts map[route.Service]*rollout
+	// recent holds when each session was seen last, by service.
+	recent map[route.Service]map[uint64]time.Time
+}
+
+// rollout is what a node knows of an order.
+type rollout struct {
+	order Order
+	// begin is when the order was given, as far as this node knows.
+	begin time.Time
+	// status is what was written; its state is StateNone until the order was begun.
+	status Status
+	// own is this node's evidence, others that of the other nodes.
+	own    Evidence
+	others map[api.NodeID]NodeReport
+	paces  paces
+	// keepOld holds the sessions that ran before the target got any.
+	keepOld map[uint64]bool
+	// atOld counts this node's requests at servers of other versions.
+	atOld int
+	// isStopped is set once the target was found bad, here or by what others wrote.
+	isStopped bool
+	// dirty tells that own changed since the last report.
+	dirty bool
+	// hasListed tells that this node's sessions were listed.
+	hasListed bool
+}
+
+// NodeReport is what a node tells the others of a roll-out.
+type NodeReport struct {
+	// Order is the revision of the order.
+	Order    route.Revision
+	Evidence Evidence
+	// AtOld counts the node's requests at servers of other versions.
+	AtOld int
+	// Sessions are hashes of those that ran before the target got any.
+	Sessions []uint64
+}
+
+// NewBook returns a book without orders.
+func NewBook(opts BookOptions) *Book {
+	opts.Log = eventlog.OrDiscard(opts.Log)
+	return &Book{
+		opts: opts, rollouts: make(map[route.Service]*rollout), recent: make(map[route.Service]map[uint64]time.Time),
+	}
+}
+
+// SetOrder takes in an order, begun at a time; an older one than the held is passed over.
+func (b *Book) SetOrder(order Order, begin time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held, ok := b.rollouts[order.Service]; ok && held.order.Revision >= order.Revision {
+		return
+	}
+	b.rollouts[order.Service] = &rollout{
+		order: order, begin: begin, own: NewEvidence(), others: make(map[api.NodeID]NodeReport),
+		paces: paces{routes: make(map[route.Name]*paceRing)}, keepOld: make(map[uint64]bool),
+	}
+	b.opts.Log.WithFields(log.Fields{
+		"service": string(order.Service), "target": string(order.Target), "duration": order.Duration.String(),
+		"revision": int64(order.Revision),
+	}).Info("roll-out ordered")
+}
+
+// SetStart takes in when an order was given, by the clock of the node that saw it first. Clocks differ and may jump, so that it only
+// makes a node that started later take an order for older than it did.
+func (b *Book) SetStart(service route.Service, start Start, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[service]
+	if !ok || start.Order != r.order.Revision {
+		return
+	}
+	age := min(time.Duration(now.UnixMilli()-start.UnixMilli)*time.Millisecond, r.order.Duration)
+	if begin := now.Add(-age); begin.Before(r.begin) {
+		r.begin = begin
+	}
+}
+
+// SetStatus takes in what was written of a roll-out; one of an earlier order is passed over.
+func (b *Book) SetStatus(status Status) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[status.Service]
+	if !ok {
+		return
+	}
+	isOfOrder := status.Target == r.order.Target && route.Revision(status.Version) > r.order.Revision
+	if !isOfOrder {
+		// The next write replaces it.
+		r.status.Version = status.Version
+		return
+	}
+	if status.State != r.status.State {
+		b.opts.Log.WithFields(log.Fields{
+			"service": string(status.Service), "target": string(status.Target), "state": status.State.String(),
+		}).Info("roll-out's state changed")
+	}
+	r.status = status
+	if status.State == StateReverted {
+		r.isStopped = true
+	}
+}
+
+// SetReport takes in another node's report.
+func (b *Book) SetReport(service route.Service, node api.NodeID, report NodeReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[service]
+	if !ok || node == b.opts.Node || report.Order != r.order.Revision {
+		return
+	}
+	for _, session := range report.Sessions {
+		r.keepOld[session] = true
+	}
+	r.others[node] = report
+	b.judge(r)
+}
+
+// judge stops the target where the evidence is against it; b.mu is held.
+func (b *Book) judge(r *rollout) {
+	if r.isStopped || r.status.State == StateCompleted {
+		return
+	}
+	all := r.evidence()
+	if !all.IsBad() {
+		return
+	}
+	r.isStopped = true
+	b.opts.Log.WithFields(log.Fields{
+		"service": string(r.order.Service), "target": string(r.order.Target), "target_counts": all.Target, "others_counts": all.Others,
+	}).Warn("version found bad, no more requests go there")
+}
+
+// evidence sums what is known of all nodes.
+func (r *rollout) evidence() Evidence {
+	all := NewEvidence()
+	all.Add(r.own)
+	for _, report := range r.others {
+		all.Add(report.Evidence)
+	}
+	return all
+}
+
+// Pick returns the versions that may run a request of a session, or of one id where it has no session.
+func (b *Book) Pick(service route.Service, session, id string, now time.Time) Choice {
+	hash := sessionHash(service, session)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if session != "" {
+		b.remember(service, hash, now)
+	}
+	r, ok := b.rollouts[service]
+	if !ok {
+		return Choice{}
+	}
+	choice := Choice{Target: r.order.Target}
+	switch {
+	case r.status.State == StateCompleted:
+		choice.UseTarget = true
+		return choice
+	case r.isStopped:
+		choice.IsStrict = true
+		return choice
+	}
+	elapsed := now.Sub(r.begin)
+	share := Share(elapsed, r.order.Duration, b.opts.Exposure)
+	if session == "" {
+		hash = sessionHash(service, id)
+	}
+	choice.UseTarget = fraction(hash) < share
+	if session == "" || !KeepsSessions(elapsed, r.order.Duration) {
+		return choice
+	}
+	if share == 0 {
+		b.keep(r, hash)
+	} else if r.keepOld[hash] {
+		choice.UseTarget = false
+	}
+	return choice
+}
+
+// keep lets a session stay with the version that it has, if the target's first share would move it; b.mu is held.
+func (b *Book) keep(r *rollout, hash uint64) {
+	if fraction(hash) < Share(startTime, r.order.Duration, b.opts.Exposure) {
+		r.keepOld[hash] = true
+	}
+}
+
+// sessionHash spreads the sessions of a service; every node computes the same.
+func sessionHash(service route.Service, session string) uint64 {
+	return xxhash.Sum64String(string(service) + "\x00" + session)
+}
+
+// remember notes that a session is in use; b.mu is held.
+func (b *Book) remember(service route.Service, hash uint64, now time.Time) {
+	sessions, ok := b.recent[service]
+	if !ok {
+		sessions = make(map[uint64]time.Time)
+		b.recent[service] = sessions
+	}
+	if len(sessions) >= maxRecentSessions {
+		for old, seen := range sessions {
+			if now.Sub(seen) > b.opts.Session {
+				delete(sessions, old)
+			}
+		}
+		if len(sessions) >= maxRecentSessions {
+			clear(sessions)
+		}
+	}
+	sessions[hash] = now
+}
+
+// fraction turns a hash into a number from 0 to below 1.
+func fraction(hash uint64) float64 {
+	const bits = 53
+	return float64(hash>>(64-bits)) / (1 << bits)
+}
+
+// Outcome is how a server answered a request.
+type Outcome struct {
+	Service route.Service
+	Version route.ServiceVersion
+	Route   route.Name
+	// IsFailure tells that the answer was a failure, or that none came.
+	IsFailure bool
+	// Pace is the answer's, 0 if it isn't whole.
+	Pace float64
+}
+
+// Begin counts a request that is sent to a server, and returns what counts its end.
+func (b *Book) Begin(service route.Service, version route.ServiceVersion) (end func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[service]
+	if !ok || version == r.order.Target {
+		return func() {}
+	}
+	// Whether any request is left at the old servers matters once no session is kept there.
+	isMoving := func() bool { return !KeepsSessions(time.Since(r.begin), r.order.Duration) }
+	r.atOld++
+	r.dirty = r.dirty || r.atOld == 1 && isMoving()
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		r.atOld--
+		r.dirty = r.dirty || r.atOld == 0 && isMoving()
+	}
+}
+
+// Observe takes in an outcome.
+func (b *Book) Observe(o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[o.Service]
+	if !ok || r.status.State == StateCompleted || r.status.State == StateReverted {
+		return
+	}
+	isTarget := o.Version == r.order.Target
+	isSlow := o.Pace > 0 && r.paces.isSlow(o.Route, o.Pace)
+	if !isTarget && o.Pace > 0 {
+		r.paces.note(o.Route, o.Pace)
+	}
+	r.own.Note(isTarget, o.Route, o.IsFailure || isSlow)
+	if isTarget {
+		r.dirty = true
+		b.judge(r)
+	}
+}
+
+// Work is what a node is to write of a roll-out now.
+type Work struct {
+	Order Order
+	Begin time.Time
+	// Report is this node's report; nil if there is nothing new.
+	Report *NodeReport
+	// State is the state to write under the condition that the status still has Version; StateNone writes nothing.
+	State State
+	// Status is the one that is replaced.
+	Status Status
+}
+
+// Due returns what is to be written now, for each service.
+func (b *Book) Due(now time.Time) []Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []Work
+	for service, r := range b.rollouts {
+		if r.status.State == StateCompleted || r.status.State == StateReverted {
+			continue
+		}
+		elapsed := now.Sub(r.begin)
+		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
+		if elapsed >= listTime && !r.hasListed {
+			r.hasListed, r.dirty = true, true
+			for session, seen := range b.recent[service] {
+				if now.Sub(seen) <= b.opts.Session {
+					b.keep(r, session)
+				}
+			}
+		}
+		if r.dirty {
+			r.dirty = false
+			w.Report = r.report()
+		}
+		switch {
+		case r.isStopped:
+			w.State = StateReverted
+		case MayComplete(elapsed, r.order.Duration, r.atOldOfAll()):
+			w.State = StateCompleted
+		case r.status.State == StateNone:
+			w.State = StateInProgress
+		}
+		if w.Report != nil || w.State != StateNone {
+			due = append(due, w)
+		}
+	}
+	return due
+}
+
+// report returns a copy of this node's evidence and of the sessions that keep their version.
+func (r *rollout) report() *NodeReport {
+	report := &NodeReport{Order: r.order.Revision, Evidence: NewEvidence(), AtOld: r.atOld}
+	report.Evidence.Add(r.own)
+	for session := range r.keepOld {
+		report.Sessions = append(report.Sessions, session)
+	}
+	return report
+}
+
+// atOldOfAll counts the requests of all nodes at servers of other versions.
+func (r *rollout) atOldOfAll() int {
+	sum := r.atOld
+	for _, report := range r.others {
+		sum += report.AtOld
+	}
+	return sum
+}
+
+// Unreported makes the next Due report again, after a write that failed.
+func (b *Book) Unreported(service route.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, ok := b.rollouts[service]; ok {
+		r.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/versionrollout/plan.go
@@ -0,0 +1,65 @@
+package versionrollout
+
+import (
+	"time"
+)
+
+// The share of requests that goes to the target grows with time; evidence stops it. In the first half a session keeps the version
+// that it has, so that the share stays as it is; in the second half it grows fast enough that the requests at the old servers have
+// ended when these are stopped at completion.
+const (
+	// listTime is the time after an order at which nodes tell each other which sessions run, and startTime that at which the
+	// first requests go to the target.
+	listTime  = 500 * time.Millisecond
+	startTime = time.Second
+	// firstShare is the part of the allowed exposure that is used before anything is known.
+	firstShare = 0.65
+	// defaultExposure is the allowed exposure where the deployment states none.
+	defaultExposure = 0.1
+)
+
+// growth lists shares of the requests from parts of the duration on.
+var growth = []struct{ from, share float64 }{
+	{0.52, 0.3},
+	{0.57, 0.6},
+	{0.62, 1},
+}
+
+const (
+	// completeFrom is the part of the duration from which a roll-out completes once no request runs at the old servers, and
+	// completeBy that at which it completes in any case.
+	completeFrom = 0.75
+	completeBy   = 0.92
+	// sessionsUntil is the part of the duration during which sessions keep their version.
+	sessionsUntil = 0.5
+)
+
+// Share returns the share of the requests that go to the target, from 0 to 1.
+func Share(elapsed, duration time.Duration, exposure float64) float64 {
+	if elapsed < startTime {
+		return 0
+	}
+	if exposure <= 0 {
+		exposure = defaultExposure
+	}
+	share := firstShare * exposure
+	part := float64(elapsed) / float64(max(duration, 1))
+	for _, step := range growth {
+		if part >= step.from {
+			share = step.share
+		}
+	}
+	return share
+}
+
+// MayComplete reports whether a roll-out without a bad verdict is to be completed; atOld counts the requests that run at servers of
+// other versions.
+func MayComplete(elapsed, duration time.Duration, atOld int) bool {
+	part := float64(elapsed) / float64(max(duration, 1))
+	return part >= completeBy || part >= completeFrom && atOld == 0
+}
+
+// KeepsSessions reports whether sessions still keep the version that they have.
+func KeepsSessions(elapsed, duration time.Duration) bool {
+	return float64(elapsed) < sessionsUntil*float64(duration)
+}
