--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -4,14 +4,27 @@
 	"github.com/monsoonrail/monsoonrail/internal/route"
 )
 
-// ModelPolicy chooses among the models of a route.
+// ModelPolicy chooses among the models of a route, ordered from small to large.
 type ModelPolicy interface {
-	// First returns the model of a request's first run; models are ordered from small to large.
-	First(models []route.Model, tokensIn, tokensOut int) route.Model
+	// First returns the index of the model of a request's first run.
+	First(models []route.Model) int
+	// Next returns the index of the model that is to answer instead of one with a confidence, or the same index to keep its answer.
+	Next(models []route.Model, index, confidence int) int
 }
 
-// LargestModel always takes the largest model.
-type LargestModel struct{}
+// Cascade asks a small model first and a larger one where the small one doubts its answer.
+type Cascade struct {
+	// MinConfidence is the least confidence, from 0 to 100, with which an answer is kept.
+	MinConfidence int
+}
 
 // First implements ModelPolicy.
-func (LargestModel) First(models []route.Model, _, _ int) route.Model { return models[len(models)-1] }
+func (c Cascade) First([]route.Model) int { return 0 }
+
+// Next implements ModelPolicy.
+func (c Cascade) Next(models []route.Model, index, confidence int) int {
+	if confidence >= c.MinConfidence {
+		return index
+	}
+	return len(models) - 1
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -38,8 +39,9 @@
 	tried []api.ServerID
 	// crashes counts the servers that died while they may have run it.
 	crashes int
-	// model is the one that the router chose; empty where the caller named it.
-	model route.Model
+	// model is the one that the router chose, empty where the caller named it, and modelIndex its place among the route's.
+	model      route.Model
+	modelIndex int
 	// lastEvent is the id of the last event that the caller was sent, or with which it came.
 	lastEvent string
 	// events counts those sent to the caller.
@@ -55,11 +57,29 @@
 func newRun(g *Gateway, wk *work, w http.ResponseWriter) *run {
 	r := &run{g: g, w: w, work: wk, lastEvent: wk.LastEvent}
 	if wk.ChoosesModel && len(wk.route.Models) > 0 {
-		r.model = g.opts.Models.First(wk.route.Models, wk.TokensIn, wk.TokensOut)
+		r.useModel(g.opts.Models.First(wk.route.Models))
 	}
 	return r
 }
 
+func (r *run) useModel(index int) {
+	r.modelIndex, r.model = index, r.route.Models[index]
+}
+
+// escalates reports whether a larger model is to answer instead, and chooses it. Only an answer of which the caller has nothing
+// yet can be replaced.
+func (r *run) escalates(info AnswerInfo) bool {
+	if r.model == "" || !info.HasConfidence || r.hasHead || r.runs+1 >= r.route.MaxAttempts {
+		return false
+	}
+	next := r.g.opts.Models.Next(r.route.Models, r.modelIndex, info.Confidence)
+	if next == r.modelIndex || !r.g.opts.Budget.Repeat(r.service.Name, time.Now()) {
+		return false
+	}
+	r.useModel(next)
+	return true
+}
+
 // verdict is what follows from one offer.
 type verdict int
 
@@ -70,17 +90,20 @@
 	verdictNotRun
 	// verdictMayHaveRun means that it may have run and the caller's answer isn't whole.
 	verdictMayHaveRun
+	// verdictEscalated means that a larger model is to answer.
+	verdictEscalated
 )
 
 // serve offers the request to servers until the caller has its answer or no more is allowed.
 func (r *run) serve(ctx context.Context) {
 	r.g.opts.Budget.Request(r.service.Name, r.arrived)
+	isRepeat := false
 	for {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			r.explain("caller left", "")
 			panic(http.ErrAbortHandler)
 		}
-		if refusal := r.mayOffer(ctx); refusal != nil {
+		if refusal := r.mayOffer(ctx, isRepeat); refusal != nil {
 			r.giveUp(refusal)
 			return
 		}
@@ -91,9 +114,15 @@
 		}
 		r.sends++
 		r.tried = append(r.tried, member.ID)
+		isRepeat = true
 		switch r.offer(ctx, member) {
 		case verdictDone:
 			return
+		case verdictEscalated:
+			// The retry budget has counted it.
+			r.runs++
+			r.tried = nil
+			isRepeat = false
 		case verdictMayHaveRun:
 			r.runs++
 			if !r.route.MayRepeat() {
@@ -106,15 +135,15 @@
 	}
 }
 
-// mayOffer returns why the request may not be offered to a server, or nil.
-func (r *run) mayOffer(ctx context.Context) *refusal {
+// mayOffer returns why the request may not be offered to a server, or nil; isRepeat draws on the retry budget.
+func (r *run) mayOffer(ctx context.Context, isRepeat bool) *refusal {
 	switch {
 	case ctx.Err() != nil:
 		return &refusal{status: http.StatusGatewayTimeout, reason: reasonDeadline}
 	case r.sends == 0:
 	case r.sends >= maxSends || r.runs >= r.route.MaxAttempts:
 		return &refusal{status: http.StatusBadGateway, reason: reasonAttempts}
-	case !r.g.opts.Budget.Repeat(r.service.Name, time.Now()):
+	case isRepeat && !r.g.opts.Budget.Repeat(r.service.Name, time.Now()):
 		return notYet(reasonBudget)
 	}
 	if r.team != nil && !r.g.opts.Configs.MayUseKeys() {
@@ -268,6 +297,11 @@
 			member.Fail(now)
 			return verdictMayHaveRun
 		}
+		if r.escalates(info) {
+			member.Succeed()
+			r.explain("model escalated", strconv.Itoa(info.Confidence))
+			return verdictEscalated
+		}
 		if r.route.Kind == route.KindStream {
 			return r.relay(ctx, member, answer, offered)
 		}
