--- a/internal/cmd/edge.go
+++ b/internal/cmd/edge.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/edge"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
@@ -39,5 +41,47 @@
 	defer stop()
 	logger, lines := o.Log.Open(o.std.out)
 	defer lines.Close()
-	return edge.New(edge.Options{Settings: settings, Network: tcp.System{}, Log: logger}).Run(ctx)
+	reloads := make(chan edge.Reload)
+	go watchSettings(ctx, o.Settings, reloads)
+	return edge.New(edge.Options{Settings: settings, Reloads: reloads, Network: tcp.System{}, Log: logger}).Run(ctx)
+}
+
+// settingsInterval is how often the settings file is looked at: it may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reads the settings file anew at each SIGHUP and whenever it has changed, until ctx ends.
+func watchSettings(ctx context.Context, path string, reloads chan<- edge.Reload) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	ticks := time.NewTicker(settingsInterval)
+	defer ticks.Stop()
+	known := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+		case <-ticks.C:
+			if modified(path).Equal(known) {
+				continue
+			}
+		}
+		known = modified(path)
+		settings, err := platform.ReadSettings(path)
+		select {
+		case reloads <- edge.Reload{Settings: settings, Err: err}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// modified returns when a file was changed; the zero time if it can't be told, which counts as a change once it can.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,13 +62,17 @@
 // Options configures New.
 type Options struct {
 	Settings site.Settings
-	Network  tcp.Network
-	Log      log.Interface
+	// Reloads brings changes of the settings; nil if there are none.
+	Reloads <-chan Reload
+	Network tcp.Network
+	Log     log.Interface
 }
 
 // Node is a node on the platform.
 type Node struct {
-	opts      Options
+	opts Options
+	// settings are those in force.
+	settings  atomic.Pointer[site.Settings]
 	log       log.Interface
 	metrics   *metric.Set
 	store     *platform.Store
@@ -89,6 +93,7 @@
 // New returns a node that does nothing before Run.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet()}
+	n.settings.Store(&opts.Settings)
 	n.nodes.Store(&[]nodelist.Node{})
 	n.transport = tcp.NewTransport(opts.Network)
 	n.store = platform.NewStore(opts.Settings.Store.Address, n.transport)
@@ -138,6 +143,7 @@
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	tree := supervisor.New(n.log)
 	tree.Add(supervisor.Duty{Name: "configuration", Run: n.configs.Run})
+	tree.Add(supervisor.Duty{Name: "settings", Run: n.followSettings})
 	tree.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
 	tree.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
 	tree.Add(supervisor.Duty{Name: "roll-outs", Run: n.runRollouts})
@@ -165,7 +171,7 @@
 
 // stop lets the requests end that run, for as long as the grace period allows.
 func (n *Node) stop() {
-	begin, grace := time.Now(), n.opts.Settings.Bounds.Grace
+	begin, grace := time.Now(), n.settings.Load().Bounds.Grace
 	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
 	n.isStopping.Store(true)
 	n.gateway.Stop(begin.Add(share(streamShare)), begin.Add(share(callShare)))
