--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,8 +26,8 @@
 	defaultMaxBody = 4 << 20
 	// defaultDeadline is that of a request that names none on a route without one.
 	defaultDeadline = 30 * time.Second
-	// writeTimeout bounds one write to a caller that does not read.
-	writeTimeout = 10 * time.Second
+	// writeMargin is how long after its deadline an answer may still be written to a caller that is slow to read.
+	writeMargin = time.Second
 )
 
 // Configs tells which configuration is in force.
@@ -137,6 +137,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, wk.deadline)
 	defer cancel()
+	// Not all writers can bound their writes; the server's can.
+	_ = http.NewResponseController(w).SetWriteDeadline(wk.deadline.Add(writeMargin))
 	newRun(g, wk, w).serve(ctx)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -37,8 +37,6 @@
 	sends, runs int
 	// tried lists the servers to which it was sent.
 	tried []api.ServerID
-	// crashes counts the servers that died while they may have run it.
-	crashes int
 	// model is the one that the router chose, empty where the caller named it, and modelIndex its place among the route's.
 	model      route.Model
 	modelIndex int
