--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	info := g.opts.Wire.ReadRequest(req.Header)
+	// A connection keeps the deadline of its last request. Writers of tests have none, which is all that the error says.
+	_ = http.NewResponseController(w).SetWriteDeadline(arrived.Add(max(info.Deadline, defaultDeadline) + writeMargin))
 	table := g.opts.Configs.Current()
 	body, err := readBody(w, req, table)
 	if err != nil {
@@ -137,8 +139,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, wk.deadline)
 	defer cancel()
-	// Not all writers can bound their writes; the server's can.
-	_ = http.NewResponseController(w).SetWriteDeadline(wk.deadline.Add(writeMargin))
 	newRun(g, wk, w).serve(ctx)
 }
 
