--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,7 +21,9 @@
 	"github.com/monsoonrail/monsoonrail/internal/metric"
 	"github.com/monsoonrail/monsoonrail/internal/mirror"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/relay"
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
+	"github.com/monsoonrail/monsoonrail/internal/rolloutrpc"
 	"github.com/monsoonrail/monsoonrail/internal/site"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
@@ -77,6 +79,8 @@
 	metrics   *metric.Set
 	store     *platform.Store
 	transport *http.Transport
+	// peers calls other nodes.
+	peers     *http.Client
 	configs   *inforce.Keeper
 	mirror    *mirror.Mirror
 	backends  *backend.Set
@@ -99,18 +103,26 @@
 	n.store = platform.NewStore(opts.Settings.Store.Address, n.transport)
 	bounds := opts.Settings.Bounds
 	n.configs = inforce.New(inforce.Options{
-		Store: n.store, Key: platform.KeyConfig, Decode: platform.DecodeConfig,
+		Decode: platform.DecodeConfig,
 		Revoke: bounds.Revoke, Apply: bounds.ConfigApply, Log: opts.Log,
 	})
+	n.peers = &http.Client{Transport: n.transport}
+	ways := &sources{
+		self: opts.Settings.Node, domain: opts.Settings.FailureDomain, store: n.store, client: n.peers,
+		nodes: func() []nodelist.Node { return *n.nodes.Load() },
+	}
 	n.mirror = mirror.New(mirror.Options{
-		Store: n.store, Lapsing: platform.PrefixServers, Changed: n.changed, Log: opts.Log,
+		Source: ways.next, Lapsing: platform.PrefixServers, Changed: n.changed, Proven: n.configs.Prove, Log: opts.Log,
 	})
 	n.pool = upstream.NewPool(upstream.Options{Network: opts.Network, AnswerID: platform.AnswerID})
 	n.announcer = &nodelist.Announcer{
 		Store: n.store, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
+			Peers: opts.Settings.Listen.Peers,
 		},
+		Nodes:    n.countNodes,
+		IsListed: func() bool { return n.mirror.Get(nodelist.Prefix+string(opts.Settings.Node)).Version > 0 },
 	}
 	n.rollouts = versionrollout.NewBook(versionrollout.BookOptions{
 		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, Session: bounds.Session, Log: opts.Log,
@@ -142,7 +154,6 @@
 	// Duties outlive ctx: what stops gracefully still needs the store.
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	tree := supervisor.New(n.log)
-	tree.Add(supervisor.Duty{Name: "configuration", Run: n.configs.Run})
 	tree.Add(supervisor.Duty{Name: "settings", Run: n.followSettings})
 	tree.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
 	tree.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
@@ -211,6 +222,7 @@
 		handler       http.Handler
 	}{
 		{"callers", at.Callers, n.gateway},
+		{"peers", at.Peers, n.peerHandler()},
 		{"readiness", at.Ready, platform.ReadinessHandler(n.isReady)},
 		{"addresses", at.Addresses, platform.AddressHandler(n.addressesFor)},
 	} {
@@ -229,6 +241,14 @@
 	return servers, nil
 }
 
+// peerHandler answers other nodes.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	relay.Handle(mux, n.mirror)
+	rolloutrpc.Handle(mux, n.rollouts)
+	return mux
+}
+
 // isReady reports whether the node can answer requests.
 func (n *Node) isReady() bool {
 	return !n.isStopping.Load() && n.configs.Current() != nil && n.backends.Len() > 0
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -8,6 +8,10 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
+	"github.com/monsoonrail/monsoonrail/internal/rolloutrpc"
+	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/platform"
@@ -33,7 +37,11 @@
 			n.rollouts.SetStatus(status)
 		}
 	case strings.HasPrefix(key, versionrollout.Prefix):
-		err = n.readRolloutDocument(pair)
+		var service route.Service
+		var start versionrollout.Start
+		if service, start, err = versionrollout.DecodeStart(pair); err == nil {
+			n.rollouts.SetStart(service, start, time.Now())
+		}
 	}
 	if err != nil {
 		n.log.WithField("key", key).WithError(err).Warn("value can't be read and is left out")
@@ -48,60 +56,61 @@
 	}
 	n.rollouts.SetOrder(order, time.Now())
 	// Keys come in no order when a node starts.
-	for _, other := range n.mirror.List(versionrollout.Prefix + string(order.Service) + "/") {
-		n.readRollout(other.Key)
-	}
+	n.readRollout(versionrollout.StartKey(order.Service))
 	n.readRollout(platform.PrefixRolloutStatus + string(order.Service))
 	return nil
 }
 
-func (n *Node) readRolloutDocument(pair kv.Pair) error {
-	service, node, ok := versionrollout.ParseKey(pair.Key)
-	if !ok {
-		return nil
-	}
-	if node != "" {
-		report, err := versionrollout.DecodeReport(pair)
-		if err == nil {
-			n.rollouts.SetReport(service, node, report)
-		}
-		return err
-	}
-	start, err := versionrollout.DecodeStart(pair)
-	if err == nil {
-		n.rollouts.SetStart(service, start, time.Now())
-	}
-	return err
-}
-
-// runRollouts writes what is due of the roll-outs until ctx ends.
+// runRollouts reports and writes what is due of the roll-outs until ctx ends.
 func (n *Node) runRollouts(ctx context.Context) error {
 	return sleep.Every(ctx, rolloutInterval, func(now time.Time) {
 		for _, work := range n.rollouts.Due(now) {
-			if err := n.writeRollout(ctx, work); err != nil {
+			collector := n.collectorOf(work.Order.Service)
+			if err := n.report(ctx, work, collector); err != nil {
 				n.rollouts.Unreported(work.Order.Service)
-				n.log.WithField("service", string(work.Order.Service)).WithError(err).Warn("roll-out not written")
+				n.log.WithField("service", string(work.Order.Service)).WithError(err).Warn("roll-out not reported")
+			}
+			if work.State == versionrollout.StateNone || collector.ID != n.opts.Settings.Node && work.Overdue < collectorTime {
+				continue
+			}
+			if err := n.writeState(ctx, work); err != nil {
+				n.log.WithField("service", string(work.Order.Service)).WithError(err).Warn("roll-out's state not written")
 			}
 		}
 	})
 }
 
-// writeRollout writes this node's report, and the state under the condition that nobody else has written it.
-func (n *Node) writeRollout(ctx context.Context, work versionrollout.Work) error {
-	service := work.Order.Service
-	if work.Report != nil {
-		value, err := versionrollout.Encode(work.Report)
-		if err != nil {
-			return err
-		}
-		put := kv.Op{Kind: kv.OpPut, Key: versionrollout.ReportKey(service, n.opts.Settings.Node), Value: value}
-		if _, err := n.store.Commit(ctx, kv.Txn{Then: []kv.Op{put}}); err != nil {
-			return err
-		}
+// collectorTime is for how long a state is left to the collecting node to write; afterwards every node does.
+const collectorTime = 1200 * time.Millisecond
+
+// collectorOf returns the node that collects the reports of a service, this one if no other is known.
+func (n *Node) collectorOf(service route.Service) nodelist.Node {
+	nodes := *n.nodes.Load()
+	ranked := rendezvous.Rank(string(service), nodes, func(node nodelist.Node) string { return string(node.ID) })
+	if len(ranked) == 0 {
+		return n.announcer.Node
 	}
-	if work.State == versionrollout.StateNone {
+	return ranked[0]
+}
+
+// report sends this node's report to the collector.
+func (n *Node) report(ctx context.Context, work versionrollout.Work, collector nodelist.Node) error {
+	if work.Report == nil || collector.ID == n.opts.Settings.Node || collector.Peers == "" {
 		return nil
 	}
+	collected, err := rolloutrpc.Send(ctx, n.peers, collector.Peers, rolloutrpc.Report{
+		Service: work.Order.Service, Node: n.opts.Settings.Node, Report: *work.Report,
+	})
+	if err != nil {
+		return err
+	}
+	n.rollouts.KeepSessions(work.Order, collected.Sessions)
+	return nil
+}
+
+// writeState writes the state under the condition that nobody else has written it.
+func (n *Node) writeState(ctx context.Context, work versionrollout.Work) error {
+	service := work.Order.Service
 	value, err := platform.EncodeRolloutStatus(versionrollout.Status{
 		Service: service, Target: work.Order.Target, State: work.State,
 	})
@@ -114,7 +123,7 @@
 		Then: []kv.Op{{Kind: kv.OpPut, Key: key, Value: value}},
 	}
 	if work.State == versionrollout.StateInProgress {
-		start, err := versionrollout.Encode(versionrollout.Start{Order: work.Order.Revision, UnixMilli: work.Begin.UnixMilli()})
+		start, err := versionrollout.Start{Order: work.Order.Revision, UnixMilli: work.Begin.UnixMilli()}.Encode()
 		if err != nil {
 			return err
 		}
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -1,11 +1,10 @@
 // Package inforce holds the operators' configuration that is in force on a node, and how new it is known to be.
 //
-// That nothing newer was accepted is proved only by a linearizable read, as of the moment at which its call was sent. Keys are trusted
-// for as long as the deployment lets revoked ones run, counted from there.
+// That nothing newer was accepted is proved only by a read of the store that holds all up to some moment. Keys are trusted for as long
+// as the deployment lets revoked ones run, counted from that moment.
 package inforce
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,28 +15,18 @@
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/route"
-	"github.com/monsoonrail/monsoonrail/internal/sleep"
 )
 
 const (
-	// proofInterval is how often the configuration is read: often enough that a change which a watch missed is in force in time.
-	proofInterval = time.Second
-	// proofRetry is the wait after a failed read.
-	proofRetry = 200 * time.Millisecond
 	// revokeMargin is left of the time for which keys are trusted, for a request on its way to a server.
 	revokeMargin = 300 * time.Millisecond
+	// freshSlack is how much older than the time to apply a change a configuration may be before what it doesn't hold is refused for
+	// now instead of for good: the read that proves it may have taken this long.
+	freshSlack = time.Second
 )
 
-// Store reads a key linearizably.
-type Store interface {
-	Get(ctx context.Context, key string) (kv.Pair, error)
-}
-
 // Options configures New.
 type Options struct {
-	Store Store
-	// Key is that of the configuration.
-	Key string
 	// Decode reads the key's value.
 	Decode func(kv.Pair) (route.Config, error)
 	// Revoke is how long after its revocation a key may still run; 0 trusts keys without proof.
@@ -59,7 +48,7 @@
 	provenAt atomic.Int64
 
 	mu sync.Mutex
-	// rejected is the revision of the last value that could not be read, so that it is logged once.
+	// rejected is the revision of a newer value that could not be read; 0 if there is none.
 	rejected kv.Version
 }
 
@@ -72,30 +61,13 @@
 	return &Keeper{opts: opts}
 }
 
-// Run reads the configuration again and again until ctx ends.
-func (k *Keeper) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		wait := proofInterval
-		if !k.Prove(ctx) {
-			wait = proofRetry
-		}
-		sleep.For(ctx, wait)
-	}
-	return ctx.Err()
-}
-
-// Prove reads the configuration and reports whether the store answered.
-func (k *Keeper) Prove(ctx context.Context) bool {
-	sent := k.opts.Now()
-	pair, err := k.opts.Store.Get(ctx, k.opts.Key)
-	if err != nil {
-		return false
-	}
-	if pair.Version > 0 && !k.Apply(pair) {
-		return true
+// Prove notes that no configuration newer than the one in force had been accepted by a time.
+func (k *Keeper) Prove(at boottime.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.rejected == 0 && int64(at) > k.provenAt.Load() {
+		k.provenAt.Store(int64(at))
 	}
-	k.provenAt.Store(int64(sent))
-	return true
 }
 
 // Apply takes in a value of the configuration, and reports false if it can't be read. One that isn't newer changes nothing.
@@ -114,6 +86,7 @@
 		}
 		return false
 	}
+	k.rejected = 0
 	k.table.Store(route.NewTable(cfg))
 	k.opts.Log.WithFields(log.Fields{
 		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
@@ -139,4 +112,4 @@
 }
 
 // IsFresh reports whether the configuration is as new as it has to be.
-func (k *Keeper) IsFresh() bool { return k.ProofAge() < k.opts.Apply }
+func (k *Keeper) IsFresh() bool { return k.ProofAge() < k.opts.Apply+freshSlack }
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -87,6 +87,8 @@
 	More bool
 	// Revision is the service's revision at the read; a watch from Revision+1 misses nothing.
 	Revision Version
+	// Age is how long before the call was sent the result was known to be all; negative if that was later.
+	Age time.Duration
 }
 
 // Event is one change of a key that a watch reports.
@@ -100,6 +102,8 @@
 	Events []Event
 	// Revision is the service's revision of the batch.
 	Revision Version
+	// Age is how long before the call was sent the batch was known to be all; negative if that was later.
+	Age time.Duration
 }
 
 // Lease is a lease just granted or kept alive.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/monsoonrail/monsoonrail/internal/boottime"
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
@@ -20,7 +21,11 @@
 
 const (
 	// pollWait is how long a poll waits for changes: a connection that went silent is noticed this much later than its timeout.
-	pollWait = 1500 * time.Millisecond
+	pollWait = 1200 * time.Millisecond
+	// gatherTime is the least time between polls while changes come: what comes together is read together.
+	gatherTime = 200 * time.Millisecond
+	// maxHistory bounds the changes that are kept for the nodes that follow this one.
+	maxHistory = 2048
 	// retryPause is the wait after a failed call, which a store that turns calls away must bear from every node.
 	retryPause = 150 * time.Millisecond
 	// awayAfter is for how long calls must fail until the store counts as away.
@@ -37,14 +42,17 @@
 
 // Options configures New.
 type Options struct {
-	Store Store
+	// Source returns the store, or another mirror of it, to ask next.
+	Source func() Store
 	// Prefix is that of the keys that are copied.
 	Prefix string
 	// Lapsing is the prefix of the keys that may lapse while the store is away.
 	Lapsing string
 	// Changed is called after each change, with the keys that changed, one call at a time.
 	Changed func(keys []string)
-	Log     log.Interface
+	// Proven is called when the copy is known to hold all that was accepted by a time.
+	Proven func(at boottime.Time)
+	Log    log.Interface
 }
 
 // Mirror is a copy of the store's keys. It is safe for concurrent use.
@@ -58,6 +66,13 @@
 	missing map[string]time.Time
 	// revision is that up to which the copy is complete; 0 before the first List.
 	revision kv.Version
+	// history holds the last changes in the order of their revisions, all of those after historyFrom.
+	history     []kv.Event
+	historyFrom kv.Version
+	// provenAt is the newest time by which the copy is known to be complete; 0 before the first List.
+	provenAt boottime.Time
+	// updated is closed and replaced when something changed or was proved.
+	updated chan struct{}
 	// lastAnswer is when the store answered last, and returned when it came back from being away.
 	lastAnswer, returned time.Time
 }
@@ -70,17 +85,22 @@
 		dependency: &eventlog.Dependency{Name: "store", Log: opts.Log},
 		pairs:      make(map[string]kv.Pair),
 		missing:    make(map[string]time.Time),
+		updated:    make(chan struct{}),
 	}
 }
 
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := m.step(ctx)
+		begin := time.Now()
+		isChange, err := m.step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		m.dependency.Note(err)
+		if isChange {
+			sleep.For(ctx, gatherTime-time.Since(begin))
+		}
 		if err != nil && !kv.IsErrCompacted(err) {
 			m.expire(time.Now())
 			sleep.For(ctx, retryPause)
@@ -89,25 +109,28 @@
 	return ctx.Err()
 }
 
-// step makes one call: a list where the copy isn't complete up to any revision, else a poll.
-func (m *Mirror) step(ctx context.Context) error {
+// step makes one call: a list where the copy isn't complete up to any revision, else a poll. It reports whether something changed.
+func (m *Mirror) step(ctx context.Context) (bool, error) {
 	m.mu.RLock()
 	revision, waits := m.revision, len(m.missing) > 0
 	m.mu.RUnlock()
+	source := m.opts.Source()
+	sent := boottime.Now()
 	if revision == 0 {
-		listed, err := m.opts.Store.List(ctx, m.opts.Prefix)
+		listed, err := source.List(ctx, m.opts.Prefix)
 		if err != nil {
-			return err
+			return false, err
 		}
 		m.answered(time.Now())
 		m.replace(listed)
-		return nil
+		m.prove(sent - boottime.Time(listed.Age))
+		return false, nil
 	}
 	wait := pollWait
 	if waits {
 		wait = returnTime / 4
 	}
-	batch, err := m.opts.Store.Poll(ctx, m.opts.Prefix, revision, wait)
+	batch, err := source.Poll(ctx, m.opts.Prefix, revision, wait)
 	if kv.IsErrCompacted(err) {
 		m.opts.Log.WithField("revision", int64(revision)).Info("store dropped its history, reading all keys again")
 		m.mu.Lock()
@@ -115,11 +138,24 @@
 		m.mu.Unlock()
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.answered(time.Now())
 	m.apply(batch)
-	return nil
+	m.prove(sent - boottime.Time(batch.Age))
+	return len(batch.Events) > 0, nil
+}
+
+// prove notes that the copy holds all that was accepted by a time.
+func (m *Mirror) prove(at boottime.Time) {
+	m.mu.Lock()
+	m.provenAt = max(m.provenAt, at)
+	close(m.updated)
+	m.updated = make(chan struct{})
+	m.mu.Unlock()
+	if m.opts.Proven != nil {
+		m.opts.Proven(at)
+	}
 }
 
 // answered notes that the store answered.
@@ -151,6 +187,7 @@
 		}
 	}
 	m.revision = listed.Revision
+	m.history, m.historyFrom = nil, listed.Revision
 	m.mu.Unlock()
 	m.tell(changed)
 }
@@ -172,11 +209,21 @@
 		}
 	}
 	m.revision = max(m.revision, batch.Revision)
+	m.record(batch.Events)
 	changed = append(changed, m.dropMissing(now)...)
 	m.mu.Unlock()
 	m.tell(changed)
 }
 
+// record keeps changes for the nodes that follow this one; m.mu is held.
+func (m *Mirror) record(events []kv.Event) {
+	m.history = append(m.history, events...)
+	if over := len(m.history) - maxHistory; over > 0 {
+		m.historyFrom = m.history[over-1].Pair.Version
+		m.history = append([]kv.Event(nil), m.history[over:]...)
+	}
+}
+
 // expire drops the missing keys whose time is over.
 func (m *Mirror) expire(now time.Time) {
 	m.mu.Lock()
--- a/internal/nodelist/nodelist.go
+++ b/internal/nodelist/nodelist.go
@@ -20,9 +20,12 @@
 const Prefix = "monsoonrail/nodes/"
 
 const (
-	// leaseTTL is how long a dead node stays listed, and renewInterval how often a live one says that it lives.
-	leaseTTL      = 3 * time.Second
-	renewInterval = time.Second
+	// renewPerNode, times the number of nodes, is how often a node renews its lease, so that the store gets as many renewals from a
+	// large fleet as from a small one, between minRenew and maxRenew. A dead node stays listed for three intervals.
+	renewPerNode   = 25 * time.Millisecond
+	minRenew       = time.Second
+	maxRenew       = 3 * time.Second
+	renewalsMissed = 3
 	// retryPause is the wait after a failed call.
 	retryPause = 250 * time.Millisecond
 	// leaveTimeout bounds the call by which a stopping node takes itself off the list.
@@ -36,8 +39,9 @@
 type Node struct {
 	ID            api.NodeID        `json:"Node"`
 	FailureDomain api.FailureDomain `json:"FailureDomain"`
-	// Callers is the "IP:port" of its listener for callers.
+	// Callers is the "IP:port" of its listener for callers, Peers that for other nodes.
 	Callers string `json:"Callers"`
+	Peers   string `json:"Peers"`
 }
 
 // Decode reads the value of a key under Prefix.
@@ -63,10 +67,16 @@
 	Node  Node
 	// MinLease is the store's shortest lease.
 	MinLease time.Duration
+	// Nodes returns how many nodes are on the list.
+	Nodes func() int
+	// IsListed reports whether the node is on the list, as far as this node knows.
+	IsListed func() bool
 	Log      log.Interface
 
 	// lease is that of the node's entry; 0 while it has none.
 	lease atomic.Int64
+	// wasMissing tells that the node wasn't on the list at the last renewal; only Run uses it.
+	wasMissing bool
 	// left is set once the node must not be announced any more.
 	left atomic.Bool
 }
@@ -74,7 +84,7 @@
 // Run announces the node and renews its lease until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait := renewInterval
+		wait := a.interval()
 		if err := a.renew(ctx); err != nil {
 			eventlog.OrDiscard(a.Log).WithError(err).Debug("node's lease not renewed")
 			wait = retryPause
@@ -84,19 +94,27 @@
 	return ctx.Err()
 }
 
-// renew renews the lease, or takes a new one where it has ended.
+func (a *Announcer) interval() time.Duration {
+	return min(max(renewPerNode*time.Duration(a.Nodes()), minRenew), maxRenew)
+}
+
+// renew renews the lease, or takes a new one where it has ended, or where the node's entry is missing: an earlier write of this node
+// that came late may have put it under a lease that has ended since.
 func (a *Announcer) renew(ctx context.Context) error {
 	if a.left.Load() {
 		return nil
 	}
-	if id := kv.LeaseID(a.lease.Load()); id != 0 {
+	isListed := a.IsListed()
+	isMissing := !isListed && a.wasMissing
+	a.wasMissing = !isListed
+	if id := kv.LeaseID(a.lease.Load()); id != 0 && !isMissing {
 		_, err := a.Store.KeepAlive(ctx, id)
 		if !kv.IsErrLeaseNotFound(err) {
 			return err
 		}
 		a.lease.Store(0)
 	}
-	lease, err := a.Store.Grant(ctx, max(leaseTTL, a.MinLease))
+	lease, err := a.Store.Grant(ctx, max(renewalsMissed*a.interval(), a.MinLease))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -0,0 +1,95 @@
+// Package rolloutrpc carries nodes' reports of a roll-out to the node that collects them.
+package rolloutrpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// pathReport is the path of the call.
+const pathReport = "/v1/rollouts/report"
+
+const (
+	// callTimeout bounds a call: nodes are milliseconds apart, and a report that is late is sent again.
+	callTimeout = 400 * time.Millisecond
+	// maxBytes bounds a report and its answer.
+	maxBytes = 4 << 20
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("rolloutrpc")
+
+// ErrRefused means that a node did not take a report.
+type ErrRefused struct{ Status int }
+
+// Error implements error.
+func (e *ErrRefused) Error() string { return fmt.Sprintf("report refused with status %d", e.Status) }
+
+// Report is a node's report of a service's roll-out.
+type Report struct {
+	Service route.Service
+	Node    api.NodeID
+	Report  versionrollout.NodeReport
+}
+
+// Collected is what a collector answers.
+type Collected struct {
+	// Sessions are hashes of those of all nodes that keep their version.
+	Sessions []uint64
+}
+
+// Collector takes reports in.
+type Collector interface {
+	SetReport(service route.Service, node api.NodeID, report versionrollout.NodeReport) (sessions []uint64)
+}
+
+// Handle adds the call to a node's calls.
+func Handle(mux *http.ServeMux, collector Collector) {
+	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, req *http.Request) {
+		report := Report{Report: versionrollout.NodeReport{Evidence: versionrollout.NewEvidence()}}
+		if err := json.NewDecoder(io.LimitReader(req.Body, maxBytes)).Decode(&report); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		sessions := collector.SetReport(report.Service, report.Node, report.Report)
+		w.Header().Set("Content-Type", "application/json")
+		// A node that has left reports again.
+		_ = json.NewEncoder(w).Encode(Collected{Sessions: sessions})
+	})
+}
+
+// Send sends a report to the node at an address.
+func Send(ctx context.Context, client *http.Client, address string, report Report) (Collected, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := json.Marshal(report)
+	if err != nil {
+		return Collected{}, Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathReport, bytes.NewReader(body))
+	if err != nil {
+		return Collected{}, Error.Wrap(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Collected{}, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Collected{}, Error.Wrap(&ErrRefused{Status: resp.StatusCode})
+	}
+	var collected Collected
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(&collected)
+	return collected, Error.Wrap(err)
+}
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -15,6 +15,8 @@
 	Ready string
 	// Addresses is that where callers ask which nodes to use.
 	Addresses string
+	// Peers is that of other nodes.
+	Peers string
 	// Metrics is that of the metrics.
 	Metrics string
 }
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -1,6 +1,8 @@
 package versionrollout
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +67,9 @@
 	isStopped bool
 	// dirty tells that own changed since the last report.
 	dirty bool
+	// dueState is the state that is to be written, since dueSince.
+	dueState State
+	dueSince time.Time
 	// hasListed tells that this node's sessions were listed.
 	hasListed bool
 }
@@ -145,21 +150,40 @@
 	}
 }
 
-// SetReport takes in another node's report.
-func (b *Book) SetReport(service route.Service, node api.NodeID, report NodeReport) {
+// SetReport takes in another node's report, and returns hashes of the sessions that keep their version.
+func (b *Book) SetReport(service route.Service, node api.NodeID, report NodeReport) (sessions []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.rollouts[service]
-	if !ok || node == b.opts.Node || report.Order != r.order.Revision {
-		return
+	if !ok || report.Order != r.order.Revision {
+		return nil
+	}
+	r.keepSessions(report.Sessions)
+	if node != b.opts.Node {
+		report.Sessions = nil
+		r.others[node] = report
+		b.judge(r)
 	}
-	for _, session := range report.Sessions {
+	return r.sessions()
+}
+
+// KeepSessions takes in the sessions of all nodes that keep their version.
+func (b *Book) KeepSessions(order Order, sessions []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, ok := b.rollouts[order.Service]; ok && r.order.Revision == order.Revision {
+		r.keepSessions(sessions)
+	}
+}
+
+func (r *rollout) keepSessions(sessions []uint64) {
+	for _, session := range sessions {
 		r.keepOld[session] = true
 	}
-	r.others[node] = report
-	b.judge(r)
 }
 
+func (r *rollout) sessions() []uint64 { return slices.Collect(maps.Keys(r.keepOld)) }
+
 // judge stops the target where the evidence is against it; b.mu is held.
 func (b *Book) judge(r *rollout) {
 	if r.isStopped || r.status.State == StateCompleted {
@@ -312,19 +336,21 @@
 	}
 }
 
-// Work is what a node is to write of a roll-out now.
+// Work is what a node is to do for a roll-out now.
 type Work struct {
 	Order Order
 	Begin time.Time
 	// Report is this node's report; nil if there is nothing new.
 	Report *NodeReport
-	// State is the state to write under the condition that the status still has Version; StateNone writes nothing.
-	State State
+	// State is the state to write under the condition that the status still has Version; StateNone writes nothing. It has been due
+	// for Overdue.
+	State   State
+	Overdue time.Duration
 	// Status is the one that is replaced.
 	Status Status
 }
 
-// Due returns what is to be written now, for each service.
+// Due returns what is to be done now, for each service.
 func (b *Book) Due(now time.Time) []Work {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -333,28 +359,16 @@
 		if r.status.State == StateCompleted || r.status.State == StateReverted {
 			continue
 		}
-		elapsed := now.Sub(r.begin)
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
-		if elapsed >= listTime && !r.hasListed {
-			r.hasListed, r.dirty = true, true
-			for session, seen := range b.recent[service] {
-				if now.Sub(seen) <= b.opts.Session {
-					b.keep(r, session)
-				}
-			}
-		}
+		b.listSessions(service, r, now)
 		if r.dirty {
 			r.dirty = false
 			w.Report = r.report()
 		}
-		switch {
-		case r.isStopped:
-			w.State = StateReverted
-		case MayComplete(elapsed, r.order.Duration, r.atOldOfAll()):
-			w.State = StateCompleted
-		case r.status.State == StateNone:
-			w.State = StateInProgress
+		if w.State = r.nextState(now); w.State != r.dueState {
+			r.dueState, r.dueSince = w.State, now
 		}
+		w.Overdue = now.Sub(r.dueSince)
 		if w.Report != nil || w.State != StateNone {
 			due = append(due, w)
 		}
@@ -362,13 +376,38 @@
 	return due
 }
 
+// listSessions notes the sessions that run when the target is about to get its first share; b.mu is held.
+func (b *Book) listSessions(service route.Service, r *rollout, now time.Time) {
+	if r.hasListed || now.Sub(r.begin) < listTime {
+		return
+	}
+	r.hasListed, r.dirty = true, true
+	for session, seen := range b.recent[service] {
+		if now.Sub(seen) <= b.opts.Session {
+			b.keep(r, session)
+		}
+	}
+}
+
+// nextState returns the state that is to be written, StateNone if there is nothing to write.
+func (r *rollout) nextState(now time.Time) State {
+	switch {
+	case r.isStopped:
+		return StateReverted
+	case MayComplete(now.Sub(r.begin), r.order.Duration, r.atOldOfAll()):
+		return StateCompleted
+	case r.status.State == StateNone:
+		return StateInProgress
+	default:
+		return StateNone
+	}
+}
+
 // report returns a copy of this node's evidence and of the sessions that keep their version.
 func (r *rollout) report() *NodeReport {
 	report := &NodeReport{Order: r.order.Revision, Evidence: NewEvidence(), AtOld: r.atOld}
 	report.Evidence.Add(r.own)
-	for session := range r.keepOld {
-		report.Sessions = append(report.Sessions, session)
-	}
+	report.Sessions = r.sessions()
 	return report
 }
 
--- a/internal/versionrollout/documents.go
+++ b/internal/versionrollout/documents.go
@@ -8,19 +8,13 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/route"
-	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
 // Error is the class of every error of the package.
 var Error = errs.Class("versionrollout")
 
-// Keys of what nodes tell each other in the store: Prefix, the service and then keyStart or keyReports and the node.
-const (
-	// Prefix precedes the service's name.
-	Prefix     = "monsoonrail/rollouts/"
-	keyStart   = "/start"
-	keyReports = "/nodes/"
-)
+// Prefix precedes the service's name in the key of a Start.
+const Prefix = "monsoonrail/rollouts/"
 
 // Start says when an order was given, for nodes that start later.
 type Start struct {
@@ -31,42 +25,17 @@
 }
 
 // StartKey is the key of a service's Start.
-func StartKey(service route.Service) string { return Prefix + string(service) + keyStart }
-
-// ReportKey is the key of a node's report.
-func ReportKey(service route.Service, node api.NodeID) string {
-	return Prefix + string(service) + keyReports + string(node)
-}
+func StartKey(service route.Service) string { return Prefix + string(service) }
 
-// ParseKey returns the service of a key under Prefix and the node whose report it holds, empty for a Start.
-func ParseKey(key string) (service route.Service, node api.NodeID, ok bool) {
-	rest, ok := strings.CutPrefix(key, Prefix)
-	if !ok {
-		return "", "", false
-	}
-	if name, isStart := strings.CutSuffix(rest, keyStart); isStart {
-		return route.Service(name), "", true
-	}
-	name, reporter, ok := strings.Cut(rest, keyReports)
-	return route.Service(name), api.NodeID(reporter), ok
-}
-
-// DecodeStart reads a Start.
-func DecodeStart(pair kv.Pair) (Start, error) {
+// DecodeStart reads a Start and the service that it is of.
+func DecodeStart(pair kv.Pair) (route.Service, Start, error) {
 	var start Start
 	err := json.Unmarshal(pair.Value, &start)
-	return start, Error.Wrap(err)
-}
-
-// DecodeReport reads a NodeReport.
-func DecodeReport(pair kv.Pair) (NodeReport, error) {
-	report := NodeReport{Evidence: NewEvidence()}
-	err := json.Unmarshal(pair.Value, &report)
-	return report, Error.Wrap(err)
+	return route.Service(strings.TrimPrefix(pair.Key, Prefix)), start, Error.Wrap(err)
 }
 
-// Encode returns the value of a Start or a NodeReport.
-func Encode(document any) ([]byte, error) {
-	value, err := json.Marshal(document)
+// Encode returns the value of a Start.
+func (s Start) Encode() ([]byte, error) {
+	value, err := json.Marshal(s)
 	return value, Error.Wrap(err)
 }
