--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -12,7 +12,12 @@
 	// failureWeight is that of one outcome in a server's share of failures.
 	failureWeight = 0.15
 	// latencyWeight is that of one answer in a server's learnt slowness.
-	latencyWeight = 0.2
+	latencyWeight = 0.1
+	// slowestCounted bounds the ratio of one answer's time to the usual.
+	slowestCounted = 10
+	// cacheTime is for how long a part of a prompt is taken for cached after its last use, and maxParts how many are remembered.
+	cacheTime = 20 * time.Second
+	maxParts  = 2000
 )
 
 // Member is a server with what this node's requests have shown of it. It is safe for concurrent use.
@@ -36,12 +41,14 @@
 	avoidUntil    time.Time
 	// failureShare is a moving average over outcomes, from 0 to 1.
 	failureShare float64
-	// slowness is a moving average of the time to the first byte against what was expected; 1 before the first answer.
+	// slowness is a moving average of the answers' times against those of all servers for the like; 1 before the first answer.
 	slowness float64
-	left     bool
+	// parts holds when the prompt parts that this node sent were used last, by model and part.
+	parts map[string]time.Time
+	left  bool
 }
 
-func newMember(server Server) *Member { return &Member{Server: server, state: &state{slowness: 1}} }
+func newMember(server Server) *Member { return &Member{Server: server, state: &state{slowness: 1, parts: make(map[string]time.Time)}} }
 
 // View is a member's state at a moment.
 type View struct {
@@ -75,14 +82,46 @@
 	m.tokensAhead += tokens
 }
 
-// FirstByte takes in that a request's tokens were read; took against expected tells of the server's speed.
-func (m *Member) FirstByte(tokens int, took, expected time.Duration) {
+// FirstByte takes in that a request's prompt was read.
+func (m *Member) FirstByte(tokens int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.tokensAhead -= tokens
-	if expected > 0 {
-		m.slowness += latencyWeight * (float64(took)/float64(expected) - m.slowness)
+}
+
+// Compare takes in how long an answer took against those of all servers for the like.
+func (m *Member) Compare(ratio float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slowness += latencyWeight * (min(ratio, slowestCounted) - m.slowness)
+}
+
+// UseParts notes that the server reads the parts of a prompt, of which keys name the model and the part.
+func (m *Member) UseParts(keys []string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.parts) > maxParts {
+		for key, used := range m.parts {
+			if now.Sub(used) > cacheTime {
+				delete(m.parts, key)
+			}
+		}
+	}
+	for _, key := range keys {
+		m.parts[key] = now
+	}
+}
+
+// CachedParts returns how many of the first parts of a prompt the server has probably cached.
+func (m *Member) CachedParts(keys []string, now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, key := range keys {
+		if used, ok := m.parts[key]; !ok || now.Sub(used) > cacheTime {
+			return i
+		}
 	}
+	return len(keys)
 }
 
 // End counts a request's end; tokens is 0 after FirstByte.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -16,11 +16,16 @@
 	members map[api.ServerID]*Member
 	// services lists those of each service that take requests, ordered by id; the lists are replaced, never changed.
 	services map[route.Service][]*Member
+	// paces are moving averages of the answers' times for their size, by kind of answer.
+	paces map[string]float64
 }
 
+// paceWeight is that of one answer in the usual pace of its kind.
+const paceWeight = 0.02
+
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{members: make(map[api.ServerID]*Member), services: make(map[route.Service][]*Member)}
+	return &Set{members: make(map[api.ServerID]*Member), services: make(map[route.Service][]*Member), paces: make(map[string]float64)}
 }
 
 // Replace takes in all entries. What was learnt of a server stays while it is the same start at the same address. It returns the
@@ -64,6 +69,21 @@
 	return s.services[service]
 }
 
+// NotePace takes in an answer's time for its size; answers of one kind are alike but for the server.
+func (s *Set) NotePace(m *Member, kind string, pace float64) {
+	s.mu.Lock()
+	usual, ok := s.paces[kind]
+	if !ok {
+		usual = pace
+	}
+	usual += paceWeight * (pace - usual)
+	s.paces[kind] = usual
+	s.mu.Unlock()
+	if usual > 0 {
+		m.Compare(pace / usual)
+	}
+}
+
 // Find returns a server, or nil.
 func (s *Set) Find(id api.ServerID) *Member {
 	s.mu.RLock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -24,6 +24,8 @@
 	maxSends = 8
 	// refusedPause is the wait before a request goes to another server after one refused it without running it.
 	refusedPause = 10 * time.Millisecond
+	// bytesPerToken is about what a generated token takes on the wire.
+	bytesPerToken = 10
 	// tokensPerSlot is how many prompt tokens, read in chunks between the others' steps, delay as much as one more request.
 	tokensPerSlot = 1500
 )
@@ -168,21 +170,45 @@
 	}
 	fitting = rendezvous.Rank(key, fitting, func(m *backend.Member) string { return string(m.ID) })
 	candidates := make([]placement.Candidate, len(fitting))
-	shared := r.sharedTokens()
+	parts := r.partKeys()
 	for i, m := range fitting {
 		candidates[i] = placement.Candidate{
 			View: m.View(now), Slots: m.Slots, IsSameDomain: m.FailureDomain == r.g.opts.FailureDomain,
 			IsTried: slices.Contains(r.tried, m.ID),
 		}
+		cached := m.CachedParts(parts, now)
 		if i == 0 {
-			candidates[i].CachedTokens = shared
+			// The first by rank is where every node sends requests that share these parts.
+			cached = len(parts)
+		}
+		for _, part := range r.Parts[:cached] {
+			candidates[i].CachedTokens += part.Tokens
 		}
 	}
-	asked := placement.Request{Tokens: r.TokensIn}
+	asked := placement.Request{Tokens: r.TokensIn, Bytes: len(r.body) + bytesPerToken*r.expectedTokens()}
 	if r.service.Engine != nil {
 		asked.TokensPerSlot = tokensPerSlot
 	}
-	return fitting[placement.Choose(asked, candidates)]
+	chosen := fitting[placement.Choose(asked, candidates)]
+	chosen.UseParts(parts, now)
+	return chosen
+}
+
+// expectedTokens is the caller's guess of the answer's size, or half of its bound.
+func (r *run) expectedTokens() int {
+	if r.TokensHint > 0 {
+		return min(r.TokensHint, r.TokensOut)
+	}
+	return r.TokensOut / 2
+}
+
+// partKeys names the parts of the prompt that other requests may share, and the model that reads them.
+func (r *run) partKeys() []string {
+	var keys []string
+	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+		keys = append(keys, string(r.model)+"/"+part.ID)
+	}
+	return keys
 }
 
 // fitting returns the servers that may take the request; ofVersion keeps to the chosen version.
@@ -200,15 +226,6 @@
 	return fitting
 }
 
-// sharedTokens counts the tokens of the parts that other requests share.
-func (r *run) sharedTokens() int {
-	shared := 0
-	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
-		shared += part.Tokens
-	}
-	return shared
-}
-
 // offer sends the request to a server and hands its answer on.
 func (r *run) offer(ctx context.Context, member *backend.Member) verdict {
 	offered := time.Now()
@@ -278,6 +295,9 @@
 func (r *run) observe(member *backend.Member, outcome versionrollout.Outcome) {
 	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.route.Name
 	r.g.opts.Versions.Observe(outcome)
+	if outcome.Pace > 0 {
+		r.g.opts.Backends.NotePace(member, string(r.route.Name)+"/"+string(r.model), outcome.Pace)
+	}
 }
 
 // take decides by the head of an answer.
@@ -375,7 +395,7 @@
 }
 
 func (o *offerLoad) firstByte() {
-	o.member.FirstByte(o.tokens, 0, 0)
+	o.member.FirstByte(o.tokens)
 	o.tokens = 0
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,8 +18,10 @@
 	failurePenalty = 20.0
 	// avoidedPenalty multiplies the cost of a server that is avoided, so that it is taken only if all others are as bad.
 	avoidedPenalty = 1000.0
-	// domainPenalty is what a request to another failure domain costs more, in requests ahead.
-	domainPenalty = 0.15
+	// domainPenaltyPerKilobyte is what a kilobyte between failure domains costs, in requests ahead: as much as reading some two
+	// hundred prompt tokens.
+	domainPenaltyPerKilobyte = 0.16
+	bytesPerKilobyte = 1000
 	// slowestCounted bounds the learnt slowness.
 	slowestCounted = 10.0
 )
@@ -40,6 +42,8 @@
 type Request struct {
 	// Tokens is the size of the prompt; 0 for requests without a model.
 	Tokens int
+	// Bytes is the size of the request and of its answer, as far as it is known.
+	Bytes int
 	// TokensPerSlot is how many prompt tokens delay the others as much as one more running request does.
 	TokensPerSlot float64
 }
@@ -70,7 +74,7 @@
 	}
 	cost *= min(max(c.View.Slowness, 1/slowestCounted), slowestCounted)
 	if !c.IsSameDomain {
-		cost += domainPenalty
+		cost += domainPenaltyPerKilobyte * float64(req.Bytes) / bytesPerKilobyte
 	}
 	cost *= 1 + failurePenalty*c.View.FailureShare*c.View.FailureShare
 	if c.View.IsAvoided || c.IsTried {
