--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,8 +52,6 @@
 	// uses.
 	stayShare = 0.6
 	endShare  = 0.95
-	// minConfidence is the least confidence, of 100, with which a small model's answer is kept.
-	minConfidence = 48
 	// maxListed bounds the addresses of an answer: callers take no more.
 	maxListed = 64
 )
@@ -132,7 +130,7 @@
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, Nodes: n.countNodes,
 		}),
-		Models: gateway.Cascade{MinConfidence: minConfidence}, FailureDomain: opts.Settings.FailureDomain, Nodes: n.countNodes,
+		Models: gateway.Cascade{MinConfidence: []int{60, 55, 45}}, FailureDomain: opts.Settings.FailureDomain, Nodes: n.countNodes,
 		Log: opts.Log, Metrics: n.metrics,
 	})
 	return n
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -72,7 +72,7 @@
 	if r.model == "" || !info.HasConfidence || r.hasHead || r.runs+1 >= r.route.MaxAttempts {
 		return false
 	}
-	next := r.g.opts.Models.Next(r.route.Models, r.modelIndex, info.Confidence)
+	next := r.g.opts.Models.Next(r.route.Models, r.modelIndex, info.Confidence, r.priority())
 	if next == r.modelIndex || !r.g.opts.Budget.Repeat(r.service.Name, time.Now()) {
 		return false
 	}
