--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -166,7 +166,7 @@
 	go func() { ended <- tree.Run(duties) }()
 	select {
 	case <-ctx.Done():
-		n.stop()
+		n.stop(servers[0].server)
 	case err = <-ended:
 		ended <- err
 	}
@@ -179,7 +179,7 @@
 }
 
 // stop lets the requests end that run, for as long as the grace period allows.
-func (n *Node) stop() {
+func (n *Node) stop(callers *http.Server) {
 	begin, grace := time.Now(), n.settings.Load().Bounds.Grace
 	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
 	n.isStopping.Store(true)
@@ -191,7 +191,10 @@
 		n.log.WithError(err).Warn("node not taken off the list, its lease will end")
 	}
 	sleep.For(ctx, time.Until(begin.Add(share(stayShare))))
-	n.gateway.Wait(ctx)
+	// Connections are closed one by one as their requests end: one that is taken in this moment still gets its answer.
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.WithField("running", n.gateway.Running()).WithError(err).Warn("requests cut by the end of the grace period")
+	}
 	n.log.WithField("running", n.gateway.Running()).Info("node stopped")
 }
 
@@ -207,11 +210,14 @@
 	defer stop()
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
+		// A graceful shutdown goes on after Serve has returned.
+		<-ctx.Done()
 		return ctx.Err()
 	}
 	return Error.Wrap(err)
 }
 
+// listen opens the listeners; the first is that for callers.
 func (n *Node) listen(ctx context.Context) ([]*httpServer, error) {
 	at := n.opts.Settings.Listen
 	var servers []*httpServer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +25,8 @@
 	defaultMaxBody = 4 << 20
 	// defaultDeadline is that of a request that names none on a route without one.
 	defaultDeadline = 30 * time.Second
+	// startPatience is how long a request waits for the first configuration of a node that has just started.
+	startPatience = 250 * time.Millisecond
 	// writeMargin is how long after its deadline an answer may still be written to a caller that is slow to read.
 	writeMargin = time.Second
 )
@@ -34,6 +35,8 @@
 type Configs interface {
 	// Current returns the newest configuration, nil if none is known yet.
 	Current() *route.Table
+	// Known is closed once a configuration is known.
+	Known() <-chan struct{}
 	// MayUseKeys reports whether the configuration is known to be new enough to trust its keys.
 	MayUseKeys() bool
 	// IsFresh reports whether what the configuration doesn't hold may be refused for good.
@@ -70,8 +73,8 @@
 	// stopping is set once the node is being stopped; streamsUntil and callsUntil are when it lets in no more of them.
 	stopping atomic.Pointer[stopTimes]
 
-	running sync.WaitGroup
-	inside  atomic.Int64
+	// running counts the requests that are being answered.
+	running atomic.Int64
 }
 
 // New returns a gateway.
@@ -92,27 +95,12 @@
 }
 
 // Running counts the requests that are being answered.
-func (g *Gateway) Running() int64 { return g.inside.Load() }
-
-// Wait returns when no request runs or ctx ends.
-func (g *Gateway) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		g.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
+func (g *Gateway) Running() int64 { return g.running.Load() }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	g.running.Add(1)
-	g.inside.Add(1)
-	defer g.running.Done()
-	defer g.inside.Add(-1)
+	defer g.running.Add(-1)
 	arrived := time.Now()
 	if g.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
@@ -120,7 +108,7 @@
 	info := g.opts.Wire.ReadRequest(req.Header)
 	// A connection keeps the deadline of its last request. Writers of tests have none, which is all that the error says.
 	_ = http.NewResponseController(w).SetWriteDeadline(arrived.Add(max(info.Deadline, defaultDeadline) + writeMargin))
-	table := g.opts.Configs.Current()
+	table := g.firstTable(req.Context())
 	body, err := readBody(w, req, table)
 	if err != nil {
 		g.refuseUnread(w, info, err)
@@ -142,6 +130,21 @@
 	newRun(g, wk, w).serve(ctx)
 }
 
+// firstTable returns the configuration in force. A node that has just started waits for it for a moment, which is shorter than a
+// caller's way to another node.
+func (g *Gateway) firstTable(ctx context.Context) *route.Table {
+	if table := g.opts.Configs.Current(); table != nil {
+		return table
+	}
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-g.opts.Configs.Known():
+	}
+	return g.opts.Configs.Current()
+}
+
 func readBody(w http.ResponseWriter, req *http.Request, table *route.Table) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -44,6 +44,8 @@
 
 	// table is nil until a configuration is known.
 	table atomic.Pointer[route.Table]
+	// known is closed once table is set.
+	known chan struct{}
 	// provenAt is the boottime.Time at which the newest read was sent; 0 before the first.
 	provenAt atomic.Int64
 
@@ -58,7 +60,7 @@
 	if opts.Now == nil {
 		opts.Now = boottime.Now
 	}
-	return &Keeper{opts: opts}
+	return &Keeper{opts: opts, known: make(chan struct{})}
 }
 
 // Prove notes that no configuration newer than the one in force had been accepted by a time.
@@ -88,6 +90,9 @@
 	}
 	k.rejected = 0
 	k.table.Store(route.NewTable(cfg))
+	if old == nil {
+		close(k.known)
+	}
 	k.opts.Log.WithFields(log.Fields{
 		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
 	}).Info("configuration in force")
@@ -97,6 +102,9 @@
 // Current returns the configuration in force, nil if none is known.
 func (k *Keeper) Current() *route.Table { return k.table.Load() }
 
+// Known is closed once a configuration is known.
+func (k *Keeper) Known() <-chan struct{} { return k.known }
+
 // ProofAge returns the time since the newest read that proved the configuration was sent.
 func (k *Keeper) ProofAge() time.Duration {
 	proven := k.provenAt.Load()
