--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/boottime"
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/inforce"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
@@ -65,7 +66,9 @@
 	// Reloads brings changes of the settings; nil if there are none.
 	Reloads <-chan Reload
 	Network tcp.Network
-	Log     log.Interface
+	// Now is boottime.Now if nil.
+	Now func() boottime.Time
+	Log log.Interface
 }
 
 // Node is a node on the platform.
@@ -102,7 +105,7 @@
 	bounds := opts.Settings.Bounds
 	n.configs = inforce.New(inforce.Options{
 		Decode: platform.DecodeConfig,
-		Revoke: bounds.Revoke, Apply: bounds.ConfigApply, Log: opts.Log,
+		Revoke: bounds.Revoke, Apply: bounds.ConfigApply, Now: opts.Now, Log: opts.Log,
 	})
 	n.peers = &http.Client{Transport: n.transport}
 	ways := &sources{
@@ -110,7 +113,7 @@
 		nodes: func() []nodelist.Node { return *n.nodes.Load() },
 	}
 	n.mirror = mirror.New(mirror.Options{
-		Source: ways.next, Lapsing: platform.PrefixServers, Changed: n.changed, Proven: n.configs.Prove, Log: opts.Log,
+		Source: ways.next, Lapsing: platform.PrefixServers, Changed: n.changed, Proven: n.configs.Prove, Now: opts.Now, Log: opts.Log,
 	})
 	n.pool = upstream.NewPool(upstream.Options{Network: opts.Network, AnswerID: platform.AnswerID})
 	n.announcer = &nodelist.Announcer{
--- /dev/null
+++ b/internal/fake/platformfake/server.go
@@ -0,0 +1,149 @@
+package platformfake
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ServerOptions configures NewServer.
+type ServerOptions struct {
+	ID string
+	// Latency is the time to a call's answer or a stream's first event, Pause that between events.
+	Latency, Pause time.Duration
+	// Events is the length of a stream.
+	Events int
+	// Confidence is that of the small model's answers.
+	Confidence int
+}
+
+// Run is a request that a server began to run.
+type Run struct {
+	ID, Tenant, Model, LastEvent, Path, DeadlineMs string
+	// HasKey tells that the caller's key was passed on.
+	HasKey bool
+}
+
+// Server is a backend server. A stream's event n is "id: n\ndata: PATH n\n\n".
+type Server struct {
+	opts ServerOptions
+
+	mu   sync.Mutex
+	runs []Run
+	// cutAfter breaks the next stream after so many events; 0 breaks none. status answers calls; refuses refuses them unrun.
+	cutAfter int
+	status   int
+	refuses  bool
+}
+
+// NewServer returns a server.
+func NewServer(opts ServerOptions) *Server { return &Server{opts: opts, status: http.StatusOK} }
+
+// CutNext breaks the next stream after a number of events.
+func (s *Server) CutNext(events int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutAfter = events
+}
+
+// Answer sets the status of the answers; refuses makes them say that nothing was run.
+func (s *Server) Answer(status int, refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status, s.refuses = status, refuses
+}
+
+// Runs returns what the server ran.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	header := req.Header
+	w.Header().Set("Attempt-Id", header.Get("Attempt-Id"))
+	s.mu.Lock()
+	cut, status, refuses := s.cutAfter, s.status, s.refuses
+	s.cutAfter = 0
+	s.mu.Unlock()
+	if expected := header.Get("Expect-Instance"); expected != s.opts.ID {
+		w.Header().Set("Instance-Id", s.opts.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if refuses {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{
+		ID: header.Get("Attempt-Id"), Tenant: header.Get("Tenant"), Model: header.Get("Model"), Path: req.URL.RequestURI(),
+		LastEvent: header.Get("Last-Event-Id"), DeadlineMs: header.Get("Deadline-Ms"), HasKey: header.Get("Key") != "",
+	})
+	s.mu.Unlock()
+	if !wait(req, s.opts.Latency) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Server-Signature", "signed."+s.opts.ID)
+	w.Header().Set("Server-Load", "1,0,8")
+	if s.opts.Events == 0 {
+		w.WriteHeader(status)
+		fmt.Fprintf(w, "answer of %s", s.opts.ID)
+		return
+	}
+	if header.Get("Model") == "small" {
+		w.Header().Set("Confidence", strconv.Itoa(s.opts.Confidence))
+	}
+	s.stream(w, req, cut)
+}
+
+func (s *Server) stream(w http.ResponseWriter, req *http.Request, cut int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	first := 1
+	if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for n := first; n <= s.opts.Events; n++ {
+		if n > first && !wait(req, s.opts.Pause) {
+			panic(http.ErrAbortHandler)
+		}
+		if cut > 0 && n-first == cut {
+			// A server may stop within an event.
+			fmt.Fprintf(w, "id: %d\nda", n)
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, Event(req.URL.Path, n))
+		_ = control.Flush()
+	}
+}
+
+// Event returns event n of a path's stream.
+func Event(path string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, path, n) }
+
+// Stream returns the first n events of a path's stream.
+func Stream(path string, n int) string {
+	var all strings.Builder
+	for i := 1; i <= n; i++ {
+		all.WriteString(Event(path, i))
+	}
+	return all.String()
+}
+
+func wait(req *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-req.Context().Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -52,7 +52,9 @@
 	Changed func(keys []string)
 	// Proven is called when the copy is known to hold all that was accepted by a time.
 	Proven func(at boottime.Time)
-	Log    log.Interface
+	// Now is boottime.Now if nil.
+	Now func() boottime.Time
+	Log log.Interface
 }
 
 // Mirror is a copy of the store's keys. It is safe for concurrent use.
@@ -80,6 +82,9 @@
 // New returns an empty mirror.
 func New(opts Options) *Mirror {
 	opts.Log = eventlog.OrDiscard(opts.Log)
+	if opts.Now == nil {
+		opts.Now = boottime.Now
+	}
 	return &Mirror{
 		opts:       opts,
 		dependency: &eventlog.Dependency{Name: "store", Log: opts.Log},
@@ -115,7 +120,7 @@
 	revision, waits := m.revision, len(m.missing) > 0
 	m.mu.RUnlock()
 	source := m.opts.Source()
-	sent := boottime.Now()
+	sent := m.opts.Now()
 	if revision == 0 {
 		listed, err := source.List(ctx, m.opts.Prefix)
 		if err != nil {
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/monsoonrail/monsoonrail/internal/boottime"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 )
 
@@ -15,7 +14,7 @@
 	if m.revision == 0 {
 		return kv.ListResult{}, kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrIncomplete{}})
 	}
-	listed := kv.ListResult{Revision: m.revision, Age: boottime.Since(m.provenAt)}
+	listed := kv.ListResult{Revision: m.revision, Age: time.Duration(m.opts.Now() - m.provenAt)}
 	for _, pair := range m.pairs {
 		listed.Pairs = append(listed.Pairs, pair)
 	}
@@ -51,7 +50,7 @@
 	if after < m.historyFrom {
 		return kv.WatchBatch{}, nil, kv.Error.Wrap(&kv.ErrCompacted{Oldest: m.historyFrom})
 	}
-	batch := kv.WatchBatch{Revision: max(m.revision, after), Age: boottime.Since(m.provenAt)}
+	batch := kv.WatchBatch{Revision: max(m.revision, after), Age: time.Duration(m.opts.Now() - m.provenAt)}
 	for _, event := range m.history {
 		if event.Pair.Version > after {
 			batch.Events = append(batch.Events, event)
