--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -376,12 +376,18 @@
 	return due
 }
 
-// listSessions notes the sessions that run when the target is about to get its first share; b.mu is held.
+// listSessions notes the sessions that run when the target is about to get its first share, and has them reported until they are
+// known to all; b.mu is held.
 func (b *Book) listSessions(service route.Service, r *rollout, now time.Time) {
-	if r.hasListed || now.Sub(r.begin) < listTime {
+	elapsed := now.Sub(r.begin)
+	if elapsed < listTime || r.hasListed && elapsed >= listedTime {
+		return
+	}
+	r.dirty = true
+	if r.hasListed {
 		return
 	}
-	r.hasListed, r.dirty = true, true
+	r.hasListed = true
 	for session, seen := range b.recent[service] {
 		if now.Sub(seen) <= b.opts.Session {
 			b.keep(r, session)
--- a/internal/versionrollout/plan.go
+++ b/internal/versionrollout/plan.go
@@ -12,6 +12,8 @@
 	// first requests go to the target.
 	listTime  = 500 * time.Millisecond
 	startTime = time.Second
+	// listedTime is until when the lists are exchanged: each node needs those that the others told last.
+	listedTime = 1500 * time.Millisecond
 	// firstShare is the part of the allowed exposure that is used before anything is known.
 	firstShare = 0.65
 	// defaultExposure is the allowed exposure where the deployment states none.
