--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -106,7 +106,7 @@
 		if isChange {
 			sleep.For(ctx, gatherTime-time.Since(begin))
 		}
-		if err != nil && !kv.IsErrCompacted(err) {
+		if err != nil {
 			m.expire(time.Now())
 			sleep.For(ctx, retryPause)
 		}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,208 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/upstream"
+)
+
+const headerID = "X-Id"
+
+// scripted is a server that answers the requests on each connection with the given bytes in turn, and then closes it.
+func scripted(t *testing.T, answers ...string) (address string, connections func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go answerAll(conn, answers)
+		}
+	}()
+	return listener.Addr().String(), func() int { return len(accepted) }
+}
+
+func answerAll(conn net.Conn, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+func newPool(t *testing.T) *upstream.Pool {
+	pool := upstream.NewPool(upstream.Options{
+		Network:  tcp.System{},
+		AnswerID: func(header map[string][]string) string { return http.Header(header).Get(headerID) },
+	})
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func ask(pool *upstream.Pool, address, id string) (status int, body string, err error) {
+	answer, err := pool.Send(context.Background(), address, &upstream.Request{
+		ID: id, Method: http.MethodPost, Target: "/x?y=z", Host: "app.example", Header: http.Header{}, Body: []byte("body"),
+	})
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer.Status, string(text), err
+}
+
+func wire(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// TestAnswersAreMatched sends answers that come late, twice or to other requests, on one connection.
+func TestAnswersAreMatched(t *testing.T) {
+	pool := newPool(t)
+	t.Run("kept connection", func(t *testing.T) {
+		address, connections := scripted(t, wire("1", "one"), wire("2", "two"))
+		for id, want := range map[string]string{"1": "one"} {
+			_, body, err := ask(pool, address, id)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, body, qt.Equals, want)
+		}
+		_, body, err := ask(pool, address, "2")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "two")
+		qt.Assert(t, connections(), qt.Equals, 1)
+	})
+	t.Run("an answer to another request comes first", func(t *testing.T) {
+		address, _ := scripted(t, wire("9", "old")+wire("1", "one"))
+		_, body, err := ask(pool, address, "1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "one")
+	})
+	t.Run("only answers to other requests", func(t *testing.T) {
+		address, _ := scripted(t, wire("9", "old")+wire("8", "old")+wire("7", "old")+wire("6", "old"))
+		_, _, err := ask(pool, address, "1")
+		qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue)
+	})
+	t.Run("bytes after an answer end its connection", func(t *testing.T) {
+		address, connections := scripted(t, wire("1", "one")+wire("1", "one"))
+		for range 2 {
+			_, body, err := ask(pool, address, "1")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, body, qt.Equals, "one")
+		}
+		qt.Assert(t, connections(), qt.Equals, 2)
+	})
+	t.Run("interim answers are passed over", func(t *testing.T) {
+		address, _ := scripted(t, "HTTP/1.1 100 Continue\r\n\r\n"+wire("1", "one"))
+		status, _, err := ask(pool, address, "1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+	})
+	t.Run("a broken answer isn't whole", func(t *testing.T) {
+		address, _ := scripted(t, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
+		_, _, err := ask(pool, address, "1")
+		qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	})
+	t.Run("bytes that are no answer", func(t *testing.T) {
+		address, _ := scripted(t, "garbage\r\n\r\n")
+		_, _, err := ask(pool, address, "1")
+		qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue)
+	})
+}
+
+// TestNotSent tells apart what certainly reached no server.
+func TestNotSent(t *testing.T) {
+	pool := newPool(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	_, _, err = ask(pool, address, "1")
+	qt.Assert(t, upstream.IsErrNotSent(err), qt.IsTrue)
+
+	address, _ = scripted(t)
+	_, _, err = ask(pool, address, "1")
+	qt.Assert(t, upstream.IsErrNotSent(err), qt.IsFalse)
+	qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue)
+}
+
+// TestEndOfContextEndsTheConnection cancels a request that waits: Send returns, and the server sees the end.
+func TestEndOfContextEndsTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err = newPool(t).Send(ctx, listener.Addr().String(), &upstream.Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h"})
+	qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue)
+	<-ended
+}
+
+// TestEvents splits streams without changing a byte, however they are cut into reads.
+func TestEvents(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\ndata: none\n\nid: 4\nda"
+	for _, size := range []int{1, 3, 1000} {
+		events := upstream.NewEventReader(&chunked{text: stream, size: size})
+		var ids []string
+		var all strings.Builder
+		for {
+			event, err := events.Next()
+			all.Write(event.Raw)
+			if err != nil {
+				qt.Assert(t, err, qt.Equals, io.EOF)
+				break
+			}
+			ids = append(ids, event.ID)
+		}
+		qt.Assert(t, ids, qt.DeepEquals, []string{"1", "2", "", ""})
+		qt.Assert(t, all.String(), qt.Equals, stream)
+	}
+}
+
+// chunked reads a text in pieces.
+type chunked struct {
+	text string
+	size int
+}
+
+func (c *chunked) Read(p []byte) (int, error) {
+	if c.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), c.size)], c.text)
+	c.text = c.text[n:]
+	return n, nil
+}
