--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -48,7 +48,9 @@
 	left  bool
 }
 
-func newMember(server Server) *Member { return &Member{Server: server, state: &state{slowness: 1, parts: make(map[string]time.Time)}} }
+func newMember(server Server) *Member {
+	return &Member{Server: server, state: &state{slowness: 1, parts: make(map[string]time.Time)}}
+}
 
 // View is a member's state at a moment.
 type View struct {
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -48,7 +48,7 @@
 	qt.Assert(t, keeper.MayUseKeys(), qt.IsFalse)
 	keeper.Prove(now)
 	for _, test := range []struct {
-		age              time.Duration
+		age             time.Duration
 		mayUse, isFresh bool
 	}{
 		{0, true, true},
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,7 +21,7 @@
 	// domainPenaltyPerKilobyte is what a kilobyte between failure domains costs, in requests ahead: as much as reading some two
 	// hundred prompt tokens.
 	domainPenaltyPerKilobyte = 0.16
-	bytesPerKilobyte = 1000
+	bytesPerKilobyte         = 1000
 	// slowestCounted bounds the learnt slowness.
 	slowestCounted = 10.0
 )
