--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -164,6 +166,7 @@
 	if len(fitting) == 0 {
 		return nil
 	}
+	fitting = r.onTrial(fitting)
 	key := r.affinity()
 	if key == "" {
 		key = string(r.ID)
@@ -194,6 +197,28 @@
 	return chosen
 }
 
+// onTrial keeps the requests of a new version on a part of its servers; every node chooses the same.
+func (r *run) onTrial(members []*backend.Member) []*backend.Member {
+	if !r.choice.UseTarget || r.choice.Servers <= 0 || r.choice.Servers >= 1 {
+		return members
+	}
+	ranked := rendezvous.Rank(string(r.choice.Target), members, func(m *backend.Member) string { return string(m.ID) })
+	count := int(math.Ceil(r.choice.Servers * float64(len(ranked))))
+	now := time.Now()
+	slices.SortStableFunc(ranked, func(a, b *backend.Member) int {
+		return cmp.Compare(boolRank(a.View(now).IsAvoided), boolRank(b.View(now).IsAvoided))
+	})
+	return ranked[:count]
+}
+
+// boolRank orders false before true.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // expectedTokens is the caller's guess of the answer's size, or half of its bound.
 func (r *run) expectedTokens() int {
 	if r.TokensHint > 0 {
@@ -287,16 +312,19 @@
 	if upstream.IsErrNotSent(err) {
 		return verdictNotRun
 	}
-	r.observe(member, versionrollout.Outcome{IsFailure: true})
+	// A lost answer is no evidence against the server's version: servers crash and links break at all versions, many requests at once.
 	return verdictMayHaveRun
 }
 
+// evidenceKind names answers that are alike: those of a route and a model.
+func (r *run) evidenceKind() route.Name { return r.route.Name + "/" + route.Name(r.model) }
+
 // observe tells how a server answered.
 func (r *run) observe(member *backend.Member, outcome versionrollout.Outcome) {
-	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.route.Name
+	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.evidenceKind()
 	r.g.opts.Versions.Observe(outcome)
 	if outcome.Pace > 0 {
-		r.g.opts.Backends.NotePace(member, string(r.route.Name)+"/"+string(r.model), outcome.Pace)
+		r.g.opts.Backends.NotePace(member, string(outcome.Route), outcome.Pace)
 	}
 }
 
@@ -315,6 +343,12 @@
 			member.Fail(now)
 			return verdictMayHaveRun
 		}
+		if r.route.Kind == route.KindStream {
+			r.g.opts.Versions.Observe(versionrollout.Outcome{
+				Service: r.service.Name, Version: member.Version, Route: r.evidenceKind() + "/first",
+				Pace: versionrollout.Pace(time.Since(offered), r.TokensIn, 0),
+			})
+		}
 		if r.escalates(info) {
 			member.Succeed()
 			r.explain("model escalated", strconv.Itoa(info.Confidence))
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -1,6 +1,7 @@
 package versionrollout
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -25,6 +26,8 @@
 	UseTarget bool
 	// IsStrict forbids to fall back where no server fits.
 	IsStrict bool
+	// Servers, where it isn't 0, is the part of the target's servers to which its requests go, from 0 to 1.
+	Servers float64
 }
 
 // BookOptions configures NewBook.
@@ -195,7 +198,7 @@
 	}
 	r.isStopped = true
 	b.opts.Log.WithFields(log.Fields{
-		"service": string(r.order.Service), "target": string(r.order.Target), "target_counts": all.Target, "others_counts": all.Others,
+		"service": string(r.order.Service), "target": string(r.order.Target), "target_answers": fmt.Sprint(all.Target), "others_answers": fmt.Sprint(all.Others),
 	}).Warn("version found bad, no more requests go there")
 }
 
@@ -236,6 +239,7 @@
 		hash = sessionHash(service, id)
 	}
 	choice.UseTarget = fraction(hash) < share
+	choice.Servers = Concentration(share)
 	if session == "" || !KeepsSessions(elapsed, r.order.Duration) {
 		return choice
 	}
@@ -329,7 +333,7 @@
 	if !isTarget && o.Pace > 0 {
 		r.paces.note(o.Route, o.Pace)
 	}
-	r.own.Note(isTarget, o.Route, o.IsFailure || isSlow)
+	r.own.Note(isTarget, o.Route, o.IsFailure, isSlow)
 	if isTarget {
 		r.dirty = true
 		b.judge(r)
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -7,21 +7,31 @@
 )
 
 const (
-	// minBad is the least number of bad answers on which a version is stopped.
-	minBad = 4
+	// minFailures is the least number of failures on which a version is stopped, and minSlow that of slow answers: these come in
+	// groups, from one server that is busy for a moment.
+	minFailures = 4
+	minSlow     = 14
 	// falseAlarm bounds the chance that a version no worse than the others is stopped at one look; a roll-out has some hundred.
 	falseAlarm = 1e-5
-	// usualBad is the share of bad answers that counts as usual where the other versions had fewer.
-	usualBad = 0.03
-	// tolerated multiplies the other versions' share of bad answers.
-	tolerated = 1.5
+	// usualFailures and usualSlow are the shares that count as usual where the other versions had fewer.
+	usualFailures = 0.03
+	usualSlow     = 0.12
+	// toleratedFailures and toleratedSlow multiply the other versions' shares; few servers take a target's first requests, so that
+	// more of its answers wait for each other.
+	toleratedFailures = 1.5
+	toleratedSlow     = 2.5
 )
 
 // Counts are the answers of a version to requests of one route.
 type Counts struct {
 	Answers int
-	// Bad counts those that failed or came far later than usual.
-	Bad int
+	// Failures counts those that failed, and Slow those that came far later than usual.
+	Failures, Slow int
+}
+
+// add sums two counts.
+func (c Counts) add(other Counts) Counts {
+	return Counts{Answers: c.Answers + other.Answers, Failures: c.Failures + other.Failures, Slow: c.Slow + other.Slow}
 }
 
 // Evidence holds the counts of the target's answers and of the other versions', by route.
@@ -35,15 +45,18 @@
 }
 
 // Note counts an answer.
-func (e Evidence) Note(isTarget bool, name route.Name, isBad bool) {
+func (e Evidence) Note(isTarget bool, name route.Name, isFailure, isSlow bool) {
 	counts := e.Others
 	if isTarget {
 		counts = e.Target
 	}
 	c := counts[name]
 	c.Answers++
-	if isBad {
-		c.Bad++
+	if isFailure {
+		c.Failures++
+	}
+	if isSlow {
+		c.Slow++
 	}
 	counts[name] = c
 }
@@ -52,8 +65,7 @@
 func (e Evidence) Add(other Evidence) {
 	add := func(to, from map[route.Name]Counts) {
 		for name, c := range from {
-			sum := to[name]
-			to[name] = Counts{Answers: sum.Answers + c.Answers, Bad: sum.Bad + c.Bad}
+			to[name] = to[name].add(c)
 		}
 	}
 	add(e.Target, other.Target)
@@ -67,28 +79,34 @@
 		if isWorse(c, e.Others[name]) {
 			return true
 		}
-		target = Counts{Answers: target.Answers + c.Answers, Bad: target.Bad + c.Bad}
+		target = target.add(c)
 	}
 	for _, c := range e.Others {
-		others = Counts{Answers: others.Answers + c.Answers, Bad: others.Bad + c.Bad}
+		others = others.add(c)
 	}
 	return isWorse(target, others)
 }
 
-// isWorse tests by the binomial tail whether the target's bad answers are more than the others' share explains.
+// isWorse tests whether the target's failures or slow answers are more than the others' shares explain.
 func isWorse(target, others Counts) bool {
-	if target.Bad < minBad {
-		return false
-	}
-	usual := usualBad
-	if others.Answers > 0 {
-		// One more bad answer than seen keeps a small sample from looking flawless.
-		usual = max(usual, tolerated*float64(others.Bad+1)/float64(others.Answers+1))
-	}
-	if usual >= 1 {
-		return false
+	return target.Failures >= minFailures &&
+		exceeds(target.Answers, target.Failures, usualShare(others.Answers, others.Failures, usualFailures, toleratedFailures)) ||
+		target.Slow >= minSlow &&
+			exceeds(target.Answers, target.Slow, usualShare(others.Answers, others.Slow, usualSlow, toleratedSlow))
+}
+
+// usualShare is the share of bad answers that the others' explain, at least least. One more bad answer than seen keeps a small sample
+// from looking flawless.
+func usualShare(answers, bad int, least, tolerated float64) float64 {
+	if answers == 0 {
+		return least
 	}
-	return binomialTail(target.Answers, target.Bad, usual) < falseAlarm
+	return max(least, tolerated*float64(bad+1)/float64(answers+1))
+}
+
+// exceeds tests by the binomial tail whether so many of the answers are bad where a share is usual.
+func exceeds(answers, bad int, share float64) bool {
+	return share < 1 && binomialTail(answers, bad, share) < falseAlarm
 }
 
 // binomialTail is the chance of at least k of n where each has chance p.
