--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 	client  *http.Client
 	began   time.Time
 	// requests numbers the callers' requests.
-	requests int
+	requests atomic.Int64
 }
 
 type runningNode struct {
@@ -148,7 +149,7 @@
 }
 
 func (w *world) ask(ctx context.Context, node int, path, key string) answer {
-	w.requests++
+	number := w.requests.Add(1)
 	method := http.MethodGet
 	var body io.Reader
 	if !strings.HasPrefix(path, "/r/") {
@@ -157,7 +158,7 @@
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.nodes[node].ip+":80"+path, body)
 	w.c.Assert(err, qt.IsNil)
 	req.Host = "app.example"
-	req.Header.Set("Attempt-Id", fmt.Sprintf("request-%d", w.requests))
+	req.Header.Set("Attempt-Id", fmt.Sprintf("request-%d", number))
 	req.Header.Set("Deadline-Ms", "10000")
 	req.Header.Set("Tenant", "forged")
 	if key != "" {
