Fill one server of a new version before the rest; count slow answers before they end

A version that fails under load shows nothing at the usual load, at which its servers run a twelfth of their slots. In the second half of a roll-out one of them is filled to three quarters, by requests that generate much for what they read. Ruled out: a few times the usual load.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,7 +129,7 @@
 		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, Session: bounds.Session, Log: opts.Log,
 	})
 	n.gateway = gateway.New(gateway.Options{
-		Wire: platform.Requests{}, Pool: n.pool, Backends: n.backends, Configs: n.configs, Versions: n.rollouts,
+		Node: opts.Settings.Node, Wire: platform.Requests{}, Pool: n.pool, Backends: n.backends, Configs: n.configs, Versions: n.rollouts,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, Nodes: n.countNodes,
 		}),
--- /dev/null
+++ b/internal/gateway/evidence.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+)
+
+// evidenceKind names answers that are alike: those of a route and a model.
+func (r *run) evidenceKind() route.Name { return r.route.Name + "/" + route.Name(r.model) }
+
+// firstKind names the times to the first event of such answers.
+func (r *run) firstKind() route.Name { return r.evidenceKind() + "/first" }
+
+// observe tells how a server answered.
+func (r *run) observe(member *backend.Member, outcome versionrollout.Outcome) {
+	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.evidenceKind()
+	outcome.IsLoaded = r.isFilling
+	r.g.opts.Versions.Observe(outcome)
+	if outcome.Pace > 0 && !r.isFilling {
+		r.g.opts.Backends.NotePace(member, string(outcome.Route), outcome.Pace)
+	}
+}
+
+// observeFirst tells how long a stream took to its first event, unless that was counted as slow before.
+func (r *run) observeFirst(member *backend.Member, took time.Duration) {
+	if r.route.Kind != route.KindStream || r.isFilling || r.isFirstSlow.Load() {
+		return
+	}
+	r.g.opts.Versions.Observe(versionrollout.Outcome{
+		Service: r.service.Name, Version: member.Version, Route: r.firstKind(), Pace: versionrollout.Pace(took, r.TokensIn, 0),
+	})
+}
+
+// watchFirst counts a stream's first event as slow once it is, without waiting for it: answers that are several times slower than
+// usual would be counted last. The returned function ends the watch.
+func (r *run) watchFirst(member *backend.Member) (end func()) {
+	r.isFirstSlow.Store(false)
+	r.isSlow = false
+	r.slowPace = r.g.opts.Versions.SlowPace(r.service.Name, r.evidenceKind())
+	limit := r.g.opts.Versions.SlowPace(r.service.Name, r.firstKind())
+	if r.route.Kind != route.KindStream || r.isFilling || limit == 0 {
+		return func() {}
+	}
+	outcome := versionrollout.Outcome{Service: r.service.Name, Version: member.Version, Route: r.firstKind(), Pace: limit}
+	timer := time.AfterFunc(versionrollout.TimeAt(limit, r.TokensIn, 0), func() {
+		r.isFirstSlow.Store(true)
+		r.g.opts.Versions.Observe(outcome)
+	})
+	return func() { timer.Stop() }
+}
+
+// minPaceEvents is from how many events on a stream's pace is compared with that of whole answers.
+const minPaceEvents = 8
+
+// watchPace counts a stream as slow once it is.
+func (r *run) watchPace(member *backend.Member, pace float64) {
+	if r.isSlow || r.events < minPaceEvents || r.slowPace == 0 || pace <= r.slowPace {
+		return
+	}
+	r.isSlow = true
+	r.observe(member, versionrollout.Outcome{Pace: pace})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,10 +49,13 @@
 	// Begin counts a request that is sent to a server until end is called.
 	Begin(service route.Service, version route.ServiceVersion) (end func())
 	Observe(outcome versionrollout.Outcome)
+	// SlowPace returns the pace from which on an answer counts as slow, 0 if none is known or no roll-out is under way.
+	SlowPace(service route.Service, kind route.Name) float64
 }
 
 // Options configures New; every field must be set but Log.
 type Options struct {
+	Node          api.NodeID
 	Wire          Wire
 	Pool          *upstream.Pool
 	Backends      *backend.Set
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,13 +40,17 @@
 				return verdictDone
 			}
 		}
+		pace := versionrollout.Pace(time.Since(offered), r.TokensIn, r.events-before)
 		if isEnd {
 			r.startAnswer(answer)
 			member.Succeed()
-			r.observe(member, versionrollout.Outcome{Pace: versionrollout.Pace(time.Since(offered), r.TokensIn, r.events-before)})
+			if !r.isSlow {
+				r.observe(member, versionrollout.Outcome{Pace: pace})
+			}
 			r.explain("request answered", "")
 			return verdictDone
 		}
+		r.watchPace(member, pace)
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -1,13 +1,12 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +15,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/placement"
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -52,6 +52,13 @@
 	hasHead bool
 	// choice restricts the versions of the servers.
 	choice versionrollout.Choice
+	// isFirstSlow tells that the first event of this offer was counted as slow before it came, isSlow that the whole answer was.
+	isFirstSlow atomic.Bool
+	isSlow      bool
+	// slowPace is that from which on this offer's answer counts as slow, 0 if too little is known.
+	slowPace float64
+	// isFilling tells that the server was chosen to see the version under load.
+	isFilling bool
 	// lastFailure is a server's own failure, given to the caller where no other server does better.
 	lastFailure *wholeAnswer
 }
@@ -132,7 +139,7 @@
 				return
 			}
 		case verdictNotRun:
-			pause(ctx, refusedPause)
+			sleep.For(ctx, refusedPause)
 		}
 	}
 }
@@ -157,6 +164,7 @@
 // place chooses a server, or returns nil if there is none.
 func (r *run) place() *backend.Member {
 	now := time.Now()
+	r.isFilling = false
 	r.choice = r.g.opts.Versions.Pick(r.service.Name, r.Session, string(r.ID), now)
 	members := r.g.opts.Backends.Of(r.service.Name)
 	fitting := r.fitting(members, true)
@@ -166,7 +174,7 @@
 	if len(fitting) == 0 {
 		return nil
 	}
-	fitting = r.onTrial(fitting)
+	fitting = r.onTrial(fitting, now)
 	key := r.affinity()
 	if key == "" {
 		key = string(r.ID)
@@ -197,28 +205,6 @@
 	return chosen
 }
 
-// onTrial keeps the requests of a new version on a part of its servers; every node chooses the same.
-func (r *run) onTrial(members []*backend.Member) []*backend.Member {
-	if !r.choice.UseTarget || r.choice.Servers <= 0 || r.choice.Servers >= 1 {
-		return members
-	}
-	ranked := rendezvous.Rank(string(r.choice.Target), members, func(m *backend.Member) string { return string(m.ID) })
-	count := int(math.Ceil(r.choice.Servers * float64(len(ranked))))
-	now := time.Now()
-	slices.SortStableFunc(ranked, func(a, b *backend.Member) int {
-		return cmp.Compare(boolRank(a.View(now).IsAvoided), boolRank(b.View(now).IsAvoided))
-	})
-	return ranked[:count]
-}
-
-// boolRank orders false before true.
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // expectedTokens is the caller's guess of the answer's size, or half of its bound.
 func (r *run) expectedTokens() int {
 	if r.TokensHint > 0 {
@@ -263,6 +249,8 @@
 	defer cancel()
 	patience := time.AfterFunc(r.headPatience(), cancel)
 	defer patience.Stop()
+	endWatch := r.watchFirst(member)
+	defer endWatch()
 	load := newOffer(member, r.TokensIn)
 	defer load.end()
 	defer r.g.opts.Versions.Begin(r.service.Name, member.Version)()
@@ -278,6 +266,7 @@
 	}
 	defer answer.Close()
 	patience.Stop()
+	endWatch()
 	load.firstByte()
 	return r.take(ctx, member, answer, offered)
 }
@@ -316,18 +305,6 @@
 	return verdictMayHaveRun
 }
 
-// evidenceKind names answers that are alike: those of a route and a model.
-func (r *run) evidenceKind() route.Name { return r.route.Name + "/" + route.Name(r.model) }
-
-// observe tells how a server answered.
-func (r *run) observe(member *backend.Member, outcome versionrollout.Outcome) {
-	outcome.Service, outcome.Version, outcome.Route = r.service.Name, member.Version, r.evidenceKind()
-	r.g.opts.Versions.Observe(outcome)
-	if outcome.Pace > 0 {
-		r.g.opts.Backends.NotePace(member, string(outcome.Route), outcome.Pace)
-	}
-}
-
 // take decides by the head of an answer.
 func (r *run) take(ctx context.Context, member *backend.Member, answer *upstream.Answer, offered time.Time) verdict {
 	info := r.g.opts.Wire.ReadAnswer(answer.Header)
@@ -343,12 +320,7 @@
 			member.Fail(now)
 			return verdictMayHaveRun
 		}
-		if r.route.Kind == route.KindStream {
-			r.g.opts.Versions.Observe(versionrollout.Outcome{
-				Service: r.service.Name, Version: member.Version, Route: r.evidenceKind() + "/first",
-				Pace: versionrollout.Pace(time.Since(offered), r.TokensIn, 0),
-			})
-		}
+		r.observeFirst(member, time.Since(offered))
 		if r.escalates(info) {
 			member.Succeed()
 			r.explain("model escalated", strconv.Itoa(info.Confidence))
@@ -434,12 +406,3 @@
 }
 
 func (o *offerLoad) end() { o.member.End(o.tokens) }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/gateway/trial.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/placement"
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
+)
+
+// onTrial keeps the requests of a new version on a part of its servers; every node chooses the same.
+func (r *run) onTrial(members []*backend.Member, now time.Time) []*backend.Member {
+	if !r.choice.UseTarget || r.choice.Fill == 0 && (r.choice.Servers <= 0 || r.choice.Servers >= 1) {
+		return members
+	}
+	ranked := rendezvous.Rank(string(r.choice.Target), members, func(m *backend.Member) string { return string(m.ID) })
+	avoided := make(map[*backend.Member]bool, len(ranked))
+	for _, m := range ranked {
+		avoided[m] = m.View(now).IsAvoided
+	}
+	slices.SortStableFunc(ranked, func(a, b *backend.Member) int { return cmp.Compare(boolRank(avoided[a]), boolRank(avoided[b])) })
+	if r.choice.Fill == 0 {
+		return ranked[:int(math.Ceil(r.choice.Servers*float64(len(ranked))))]
+	}
+	slots := make([]int, len(ranked))
+	for i, m := range ranked {
+		slots[i] = m.Slots
+	}
+	filled := placement.Filled(slots, r.choice.Fill, r.g.opts.Nodes(), string(r.g.opts.Node))
+	candidate := placement.Candidate{View: ranked[filled].View(now), Slots: ranked[filled].Slots}
+	isQuick := r.TokensIn <= maxReadShare*r.expectedTokens() || candidate.View.TokensAhead == 0 && candidate.View.Load.Waiting < maxFillWaiting
+	if isQuick && placement.HasFillRoom(candidate, r.choice.Fill, r.g.opts.Nodes()) {
+		r.isFilling = true
+		return ranked[filled : filled+1]
+	}
+	if len(ranked) > 1 {
+		return slices.Delete(ranked, filled, filled+1)
+	}
+	return ranked
+}
+
+const (
+	// maxReadShare is how many prompt tokens a generated one may come with in requests that fill a server: what is read isn't
+	// running yet, and delays what runs.
+	maxReadShare = 8
+	// maxFillWaiting is how many requests may wait for their prompts to be read before longer prompts are sent elsewhere.
+	maxFillWaiting = 4
+)
+
+// boolRank orders false before true.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -28,6 +28,8 @@
 	IsStrict bool
 	// Servers, where it isn't 0, is the part of the target's servers to which its requests go, from 0 to 1.
 	Servers float64
+	// Fill, where it isn't 0, is the part of one server's slots that the target's requests are to fill, before they go to others.
+	Fill float64
 }
 
 // BookOptions configures NewBook.
@@ -240,6 +242,7 @@
 	}
 	choice.UseTarget = fraction(hash) < share
 	choice.Servers = Concentration(share)
+	choice.Fill = Fill(elapsed, r.order.Duration)
 	if session == "" || !KeepsSessions(elapsed, r.order.Duration) {
 		return choice
 	}
@@ -298,6 +301,8 @@
 	IsFailure bool
 	// Pace is the answer's, 0 if it isn't whole.
 	Pace float64
+	// IsLoaded tells that the server was being filled with requests.
+	IsLoaded bool
 }
 
 // Begin counts a request that is sent to a server, and returns what counts its end.
@@ -329,6 +334,10 @@
 		return
 	}
 	isTarget := o.Version == r.order.Target
+	if o.IsLoaded {
+		// Answers of a full server are slow without fault, and few on each route.
+		o.Route, o.Pace = loadedRoute, 0
+	}
 	isSlow := o.Pace > 0 && r.paces.isSlow(o.Route, o.Pace)
 	if !isTarget && o.Pace > 0 {
 		r.paces.note(o.Route, o.Pace)
@@ -340,6 +349,17 @@
 	}
 }
 
+// SlowPace returns the pace from which on an answer of a kind counts as slow, 0 if too little is known or no roll-out is under way.
+func (b *Book) SlowPace(service route.Service, kind route.Name) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rollouts[service]
+	if !ok || r.status.State == StateCompleted || r.status.State == StateReverted {
+		return 0
+	}
+	return r.paces.slowPace(kind)
+}
+
 // Work is what a node is to do for a roll-out now.
 type Work struct {
 	Order Order
--- a/internal/versionrollout/book_test.go
+++ b/internal/versionrollout/book_test.go
@@ -195,3 +195,45 @@
 	qt.Assert(t, due, qt.HasLen, 1)
 	qt.Assert(t, due[0].State, qt.Equals, versionrollout.StateReverted)
 }
+
+// TestSlowAnswersCountBeforeTheyEnd asks for the pace from which on an answer is slow, which a node watches while answers run.
+func TestSlowAnswersCountBeforeTheyEnd(t *testing.T) {
+	book := newFleet(1).books[0]
+	qt.Assert(t, book.SlowPace(service, "r"), qt.Equals, 0.0)
+	book.SetOrder(order, time.Unix(1_700_000_000, 0))
+	for range 30 {
+		book.Observe(versionrollout.Outcome{Service: service, Version: "v1", Route: "r", Pace: 0.1})
+	}
+	limit := book.SlowPace(service, "r")
+	qt.Assert(t, limit > 0.1, qt.IsTrue)
+	took := versionrollout.TimeAt(limit, 2000, 7)
+	qt.Assert(t, versionrollout.Pace(took, 2000, 7), qt.Equals, limit)
+	for range 15 {
+		book.Observe(versionrollout.Outcome{Service: service, Version: "v2", Route: "r", Pace: limit})
+	}
+	due := book.Due(time.Unix(1_700_000_002, 0))
+	qt.Assert(t, due, qt.HasLen, 1)
+	qt.Assert(t, due[0].State, qt.Equals, versionrollout.StateReverted)
+}
+
+// TestFewFailuresOfAFilledServerStopItsVersion gives the target four failures among eleven answers while a server is filled, beside
+// many good answers at its usual load and of the other versions.
+func TestFewFailuresOfAFilledServerStopItsVersion(t *testing.T) {
+	book := newFleet(1).books[0]
+	book.SetOrder(order, time.Unix(1_700_000_000, 0))
+	for i := range 400 {
+		name := route.Name(fmt.Sprint("route-", i%3))
+		book.Observe(versionrollout.Outcome{Service: service, Version: "v1", Route: name, Pace: 0.1})
+		if i%4 == 0 {
+			book.Observe(versionrollout.Outcome{Service: service, Version: "v2", Route: name, Pace: 0.1})
+		}
+	}
+	for i := range 11 {
+		book.Observe(versionrollout.Outcome{
+			Service: service, Version: "v2", Route: route.Name(fmt.Sprint("route-", i%3)), IsFailure: i%3 == 1, IsLoaded: true, Pace: 0.9,
+		})
+	}
+	due := book.Due(time.Unix(1_700_000_002, 0))
+	qt.Assert(t, due, qt.HasLen, 1)
+	qt.Assert(t, due[0].State, qt.Equals, versionrollout.StateReverted)
+}
--- a/internal/versionrollout/plan.go
+++ b/internal/versionrollout/plan.go
@@ -15,16 +15,34 @@
 	// listedTime is until when the lists are exchanged: each node needs those that the others told last.
 	listedTime = 1500 * time.Millisecond
 	// firstShare is the part of the allowed exposure that is used before anything is known.
-	firstShare = 0.65
+	firstShare = 0.4
 	// defaultExposure is the allowed exposure where the deployment states none.
 	defaultExposure = 0.1
 )
 
-// growth lists shares of the requests from parts of the duration on.
+// growth lists shares of the requests from parts of the duration on. The first step fills one of the target's servers; even if the
+// target is found bad at its end, it got less than the usually allowed exposure of 15 in 100.
 var growth = []struct{ from, share float64 }{
-	{0.52, 0.3},
-	{0.57, 0.6},
-	{0.62, 1},
+	{0.5, 0.8},
+	{fillUntil, 1},
+}
+
+const (
+	// fillUntil is the part of the duration at which no more servers are filled on purpose.
+	fillUntil = 0.65
+	// fillShare is the part of a server's slots that is filled: servers slow down when they are nearly full, and some versions fail
+	// from half of their slots on.
+	fillShare = 0.75
+)
+
+// Fill returns the part of one server's slots that is to be filled with requests now, 0 if servers are loaded as usual. A service at
+// its usual load shows nothing of a version that fails under load.
+func Fill(elapsed, duration time.Duration) float64 {
+	part := float64(elapsed) / float64(max(duration, 1))
+	if part < growth[0].from || part >= fillUntil {
+		return 0
+	}
+	return fillShare
 }
 
 const (
