--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -377,6 +377,31 @@
 	})
 }
 
+// TestFollowersLeaveANodeCutFromTheStore silences the store for one node after the other, so that in turn it is the node that the
+// others follow: a configuration accepted in that moment is in force on all others within the time that operators are told.
+func TestFollowersLeaveANodeCutFromTheStore(t *testing.T) {
+	const apply = 2 * time.Second
+	inWorld(t, func(w *world) {
+		for i := range 6 {
+			w.start(fmt.Sprintf("10.0.1.%d", i+1))
+		}
+		time.Sleep(10 * time.Second)
+		for cut := range w.nodes {
+			key := fmt.Sprintf("new-key-%d", cut)
+			w.network.Blackhole(w.nodes[cut].ip, storeIP)
+			w.store.Put("op/config", configuration(key))
+			time.Sleep(apply)
+			for node := range w.nodes {
+				if node != cut {
+					w.c.Check(w.ask(context.Background(), node, "/r/1", key).status, qt.Equals, http.StatusOK, qt.Commentf("node %d, cut %d", node, cut))
+				}
+			}
+			w.network.Heal(w.nodes[cut].ip, storeIP)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
 // TestDoubtfulAnswerIsEscalated gives the small model's answers little confidence: the caller gets the large model's.
 func TestDoubtfulAnswerIsEscalated(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/internal/edge/source.go
+++ b/internal/edge/source.go
@@ -18,6 +18,8 @@
 	nodesPerWatcher = 32
 	// maxRelayAge is the age over which what another node hands on is too old: its own way to the store is broken.
 	maxRelayAge = 2500 * time.Millisecond
+	// farWays is how many nodes of other failure domains a node tries: some may be cut from the store as well.
+	farWays = 3
 	// otherWayTime is how long a node keeps to another way to the store after the usual one failed.
 	otherWayTime = 5 * time.Second
 )
@@ -33,6 +35,8 @@
 
 	// failed counts the ways that failed since usualAgain was set; ways are tried in turn.
 	failed int
+	// isUntried tells that the next way has not answered yet.
+	isUntried bool
 	// usualAgain is when the usual way is tried again.
 	usualAgain time.Time
 }
@@ -77,8 +81,9 @@
 		}
 	}
 	ways = append(ways, s.store)
-	if far := rendezvous.Rank(string(s.self), others, func(n nodelist.Node) string { return string(n.ID) }); len(far) > 0 {
-		ways = append(ways, s.through(far[0]))
+	far := rendezvous.Rank(string(s.self), others, func(n nodelist.Node) string { return string(n.ID) })
+	for _, node := range far[:min(len(far), farWays)] {
+		ways = append(ways, s.through(node))
 	}
 	return ways
 }
@@ -110,6 +115,10 @@
 
 // Poll implements mirror.Store.
 func (w *way) Poll(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
+	if w.sources.isUntried {
+		// A way that doesn't work shows at once if its answer isn't to wait for changes.
+		wait = 0
+	}
 	batch, err := w.Store.Poll(ctx, prefix, after, wait)
 	w.note(ctx, batch.Age, err)
 	return batch, err
@@ -117,8 +126,10 @@
 
 func (w *way) note(ctx context.Context, age time.Duration, err error) {
 	if ctx.Err() != nil || kv.IsErrCompacted(err) || err == nil && age < maxRelayAge {
+		w.sources.isUntried = false
 		return
 	}
+	w.sources.isUntried = true
 	if w.sources.failed == 0 {
 		w.sources.usualAgain = time.Now().Add(otherWayTime)
 	}
