Count a server's own failures against it

A signed failure was no mark against the server: one that fails two fifths of its requests got as many as the others. The package's state has tests of its own.

--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,127 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func server(id, address string, version int64) backend.Server {
+	return backend.Server{ID: api.ServerID(id), Service: "models", Address: address, Slots: 8, Start: version}
+}
+
+func member(t *testing.T, s *backend.Set, id string) *backend.Member {
+	t.Helper()
+	for _, m := range s.Of("models") {
+		if m.ID == api.ServerID(id) {
+			return m
+		}
+	}
+	t.Fatalf("no server %s", id)
+	return nil
+}
+
+// TestOwnFailuresCountWithoutAvoidance gives one server failures of its own among good answers, as a server does that fails two fifths of
+// its requests while its health is good: its share of failures tells it from the others, but it is never avoided.
+func TestOwnFailuresCountWithoutAvoidance(t *testing.T) {
+	set := backend.NewSet()
+	set.Replace([]backend.Server{server("grey", "a", 1), server("sound", "b", 1)})
+	grey, sound := member(t, set, "grey"), member(t, set, "sound")
+	for i := range 40 {
+		sound.Succeed()
+		if i%5 < 2 {
+			grey.NoteFailure()
+		} else {
+			grey.Succeed()
+		}
+	}
+	view := grey.View(start)
+	qt.Assert(t, view.FailureShare > 0.2 && view.FailureShare < 0.7, qt.IsTrue, qt.Commentf("%+v", view))
+	qt.Assert(t, view.IsAvoided, qt.IsFalse)
+	qt.Assert(t, sound.View(start).FailureShare, qt.Equals, 0.0)
+}
+
+// TestAvoidanceGrows fails a server again and again: each time it is avoided longer, up to a bound, until it answers.
+func TestAvoidanceGrows(t *testing.T) {
+	set := backend.NewSet()
+	set.Replace([]backend.Server{server("a", "a", 1)})
+	m := member(t, set, "a")
+	avoidedFor := func() (d time.Duration) {
+		for m.View(start.Add(d)).IsAvoided {
+			d += 100 * time.Millisecond
+		}
+		return d
+	}
+	last := time.Duration(0)
+	for range 4 {
+		m.Fail(start)
+		qt.Assert(t, avoidedFor() > last, qt.IsTrue)
+		last = avoidedFor()
+	}
+	for range 10 {
+		m.Fail(start)
+	}
+	bound := avoidedFor()
+	m.Fail(start)
+	qt.Assert(t, avoidedFor(), qt.Equals, bound)
+	m.Succeed()
+	m.Fail(start.Add(time.Minute))
+	qt.Assert(t, m.View(start.Add(time.Minute+bound/2)).IsAvoided, qt.IsFalse)
+}
+
+// TestReplaceKeepsWhatWasLearnt replaces entries: what was learnt stays through changes of an entry and is dropped with another start or
+// address of the server, and addresses without a server are told.
+func TestReplaceKeepsWhatWasLearnt(t *testing.T) {
+	set := backend.NewSet()
+	set.Replace([]backend.Server{server("a", "1", 1), server("b", "2", 1), server("c", "3", 1)})
+	for _, id := range []string{"a", "b", "c"} {
+		member(t, set, id).Begin(10)
+		member(t, set, id).NoteFailure()
+	}
+	changed := server("a", "1", 1)
+	changed.Slots = 4
+	freed := set.Replace([]backend.Server{changed, server("b", "2", 2), server("c", "4", 1)})
+	qt.Assert(t, freed, qt.DeepEquals, []string{"3"})
+	qt.Assert(t, member(t, set, "a").View(start).FailureShare > 0, qt.IsTrue)
+	qt.Assert(t, member(t, set, "a").View(start).InFlight, qt.Equals, 1)
+	qt.Assert(t, member(t, set, "a").Slots, qt.Equals, 4)
+	qt.Assert(t, member(t, set, "b").View(start).FailureShare, qt.Equals, 0.0)
+	qt.Assert(t, member(t, set, "c").View(start).FailureShare, qt.Equals, 0.0)
+	leaving := server("a", "1", 1)
+	leaving.IsLeaving = true
+	set.Replace([]backend.Server{leaving})
+	qt.Assert(t, set.Of(route.Service("models")), qt.HasLen, 0)
+	qt.Assert(t, set.Len(), qt.Equals, 1)
+}
+
+// TestSlowServerIsLearnt compares answers of one kind: a server that takes three times as long is known to be slower than the rest.
+func TestSlowServerIsLearnt(t *testing.T) {
+	set := backend.NewSet()
+	set.Replace([]backend.Server{server("slow", "1", 1), server("usual", "2", 1)})
+	for range 60 {
+		for range 9 {
+			set.NotePace(member(t, set, "usual"), "short", 0.1)
+		}
+		set.NotePace(member(t, set, "slow"), "short", 0.3)
+	}
+	slow, usual := member(t, set, "slow").View(start).Slowness, member(t, set, "usual").View(start).Slowness
+	qt.Assert(t, slow > 2*usual, qt.IsTrue, qt.Commentf("%v and %v", slow, usual))
+}
+
+// TestCachedPartsAreRemembered counts the first parts of a prompt that a server read not long ago.
+func TestCachedPartsAreRemembered(t *testing.T) {
+	set := backend.NewSet()
+	set.Replace([]backend.Server{server("a", "1", 1)})
+	m := member(t, set, "a")
+	m.UseParts([]string{"m/1", "m/2"}, start)
+	qt.Assert(t, m.CachedParts([]string{"m/1", "m/2", "m/3"}, start.Add(time.Second)), qt.Equals, 2)
+	qt.Assert(t, m.CachedParts([]string{"m/3", "m/1"}, start.Add(time.Second)), qt.Equals, 0)
+	qt.Assert(t, m.CachedParts([]string{"m/1"}, start.Add(time.Hour)), qt.Equals, 0)
+}
--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -159,6 +159,14 @@
 	m.avoidUntil = now.Add(avoid)
 }
 
+// NoteFailure takes in a request that the server answered with a failure of its own: it is not avoided, since a request may fail at
+// every server, but gets less where others fail less.
+func (m *Member) NoteFailure() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failureShare += failureWeight * (1 - m.failureShare)
+}
+
 // Avoid keeps requests away from the server until a time.
 func (m *Member) Avoid(until time.Time) {
 	m.mu.Lock()
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// Find returns a server, or nil.
-func (s *Set) Find(id api.ServerID) *Member {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.members[id]
-}
-
 // Len counts the servers.
 func (s *Set) Len() int {
 	s.mu.RLock()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -49,6 +49,9 @@
 	}
 	isServers := read.status >= http.StatusInternalServerError
 	r.observe(member, versionrollout.Outcome{IsFailure: isServers})
+	if isServers {
+		member.NoteFailure()
+	}
 	if isServers && r.route.MayRepeat() {
 		r.lastFailure = read
 		return verdictMayHaveRun
