Take servers of which nothing is known for as busy as the rest

Without a fresh report only a node's own requests counted, so that the servers it knew least seemed emptiest: requests went to servers with 'nothing ahead' where the mean was 4 to 7. The others' requests are now the report's, less with its age, and the mean of the fresh reports.

--- a/internal/placement/fill.go
+++ b/internal/placement/fill.go
@@ -27,7 +27,7 @@
 func HasFillRoom(c Candidate, share float64, nodes int) bool {
 	bound := fillBound(c.Slots, share)
 	own := int(math.Ceil(fillUnevenness * float64(bound) / float64(nodes)))
-	return c.View.InFlight < own && Ahead(c) < float64(bound)
+	return c.View.InFlight < own && Ahead(c, reportedOthers(c)) < float64(bound)
 }
 
 // fillUnevenness is how much more than an even part a node may send to the server that is filled: some nodes get fewer requests.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// reportTrust is how long a server's report counts in full; afterwards only this node's own requests are known.
-	reportTrust = 2 * time.Second
+	// reportTrust is how long a server's report counts, less and less: about as long as half of the requests run.
+	reportTrust = time.Second
 	// failurePenalty multiplies the cost of a server that fails all requests; one that fails none costs what it costs.
 	failurePenalty = 20.0
 	// avoidedPenalty multiplies the cost of a server that is avoided, so that it is taken only if all others are as bad.
@@ -51,18 +51,20 @@
 // Choose returns the index of the best candidate, or -1 if there are none. Of equal ones the first is taken, so that the order
 // of the candidates, which callers derive from the request, spreads the requests.
 func Choose(req Request, candidates []Candidate) int {
+	usual := UsualOthers(candidates)
 	best, bestCost := -1, math.Inf(1)
 	for i, c := range candidates {
-		if cost := Cost(req, c); cost < bestCost {
+		if cost := Cost(req, c, usual); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// Cost is what a request would cost at a server, in requests ahead of it, weighed by the server's faults.
-func Cost(req Request, c Candidate) float64 {
-	ahead := Ahead(c)
+// Cost is what a request would cost at a server, in requests ahead of it, weighed by the server's faults. usualOthers is what
+// UsualOthers returns.
+func Cost(req Request, c Candidate, usualOthers float64) float64 {
+	ahead := Ahead(c, usualOthers)
 	cost := 1 + ahead
 	if over := ahead - float64(c.Slots); over > 0 {
 		// Beyond its slots a server makes requests wait for whole others.
@@ -83,14 +85,37 @@
 	return cost
 }
 
-// Ahead estimates how many requests run or wait at a server: what it reported, corrected by this node's own since then; without a
-// fresh report, this node's own.
-func Ahead(c Candidate) float64 {
-	own := float64(c.View.InFlight)
-	if !c.View.HasLoad || c.View.LoadAge > reportTrust {
-		return own
+// Ahead estimates how many requests run or wait at a server: this node's own, and those of the other nodes by the server's last
+// report. The older the report, the more the usual number of the others' requests counts instead: a server of which nothing is known
+// is no emptier than the rest.
+func Ahead(c Candidate, usualOthers float64) float64 {
+	trust := trustIn(c)
+	return float64(c.View.InFlight) + trust*reportedOthers(c) + (1-trust)*usualOthers
+}
+
+// UsualOthers returns how many requests of other nodes run or wait at a server on average, by the reports that are fresh.
+func UsualOthers(candidates []Candidate) float64 {
+	sum, weights := 0.0, 0.0
+	for _, c := range candidates {
+		trust := trustIn(c)
+		sum += trust * reportedOthers(c)
+		weights += trust
+	}
+	if weights == 0 {
+		return 0
+	}
+	return sum / weights
+}
+
+// trustIn is the weight of a server's last report, from 1 for one just made to 0.
+func trustIn(c Candidate) float64 {
+	if !c.View.HasLoad {
+		return 0
 	}
-	reported := float64(c.View.Load.Running + c.View.Load.Waiting)
-	since := own - float64(c.View.InFlightThen)
-	return max(own, reported+since)
+	return max(0, 1-float64(c.View.LoadAge)/float64(reportTrust))
+}
+
+// reportedOthers is how many requests of other nodes a server reported.
+func reportedOthers(c Candidate) float64 {
+	return max(0, float64(c.View.Load.Running+c.View.Load.Waiting-c.View.InFlightThen))
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -41,6 +41,12 @@
 		{"an old report no longer counts", placement.Request{}, []placement.Candidate{
 			with(busy(0, 8, 9), func(c *placement.Candidate) { c.View.LoadAge = time.Minute }), busy(1, 1, 0),
 		}, 0},
+		{"a server of which nothing is known is no emptier than the rest", placement.Request{}, []placement.Candidate{
+			idle(8), busy(1, 5, 0), busy(1, 6, 0), busy(1, 3, 0),
+		}, 3},
+		{"a report counts less with its age", placement.Request{}, []placement.Candidate{
+			with(busy(0, 1, 0), func(c *placement.Candidate) { c.View.LoadAge = 900 * time.Millisecond }), busy(0, 3, 0), busy(0, 6, 0),
+		}, 1},
 		{"a long prompt goes where it is cached", prompt, []placement.Candidate{
 			busy(1, 1, 0), with(busy(2, 2, 0), func(c *placement.Candidate) { c.CachedTokens = 5000 }),
 		}, 1},
