--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -26,8 +26,6 @@
 	UseTarget bool
 	// IsStrict forbids to fall back where no server fits.
 	IsStrict bool
-	// Servers, where it isn't 0, is the part of the target's servers to which its requests go, from 0 to 1.
-	Servers float64
 	// Fill, where it isn't 0, is the part of one server's slots that the target's requests are to fill, before they go to others.
 	Fill float64
 }
@@ -241,7 +239,6 @@
 		hash = sessionHash(service, id)
 	}
 	choice.UseTarget = fraction(hash) < share
-	choice.Servers = Concentration(share)
 	choice.Fill = Fill(elapsed, r.order.Duration)
 	if session == "" || !KeepsSessions(elapsed, r.order.Duration) {
 		return choice
--- a/internal/versionrollout/plan.go
+++ b/internal/versionrollout/plan.go
@@ -72,12 +72,6 @@
 	return share
 }
 
-// loadFactor is how many times the usual load the target's servers get while its share grows: some versions fail only under load.
-const loadFactor = 1.5
-
-// Concentration returns the part of the target's servers that take its share of the requests.
-func Concentration(share float64) float64 { return min(share/loadFactor, 1) }
-
 // MayComplete reports whether a roll-out without a bad verdict is to be completed; atOld counts the requests that run at servers of
 // other versions.
 func MayComplete(elapsed, duration time.Duration, atOld int) bool {
