--- a/internal/cmd/edge.go
+++ b/internal/cmd/edge.go
@@ -18,6 +18,8 @@
 	Log setting.Log
 	// Settings is the path of the platform's settings file.
 	Settings string `long:"settings" env:"MONSOONRAIL_CONFIG" required:"true" description:"path of the platform's settings file (TOML)"`
+	// Metrics is the address of the metrics, which the settings file doesn't have.
+	Metrics string `long:"metrics-listen" env:"MONSOONRAIL_METRICS_LISTEN" description:"port, or IP number and port, of the metrics, such as :9464; not served if empty"`
 }
 
 func edgeCommand(std streams) subcommand {
@@ -36,6 +38,10 @@
 	if err != nil {
 		return &usageError{cause: err}
 	}
+	if err := setting.CheckListen("metrics-listen", o.Metrics); err != nil {
+		return &usageError{cause: err}
+	}
+	settings.Listen.Metrics = o.Metrics
 	setCollector()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/boottime"
+	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/inforce"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
@@ -232,6 +233,7 @@
 		{"peers", at.Peers, n.peerHandler()},
 		{"readiness", at.Ready, platform.ReadinessHandler(n.isReady)},
 		{"addresses", at.Addresses, platform.AddressHandler(n.addressesFor)},
+		{"metrics", at.Metrics, n.metricsHandler()},
 	} {
 		if s.address == "" {
 			continue
@@ -242,7 +244,7 @@
 		}
 		servers = append(servers, &httpServer{name: s.name, listener: listener, server: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: nil,
+			ErrorLog: eventlog.StandardLogger(n.log.WithField("server", s.name), "connection failed"),
 		}})
 	}
 	return servers, nil
@@ -256,6 +258,22 @@
 	return mux
 }
 
+// metricsHandler serves the node's series under /metrics.
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, req *http.Request) {
+		n.metrics.Gauge("monsoonrail_edge_running_requests").Update(n.gateway.Running())
+		n.metrics.Gauge("monsoonrail_edge_servers").Update(int64(n.backends.Len()))
+		n.metrics.Gauge("monsoonrail_edge_nodes").Update(int64(n.countNodes()))
+		n.metrics.Gauge("monsoonrail_edge_configuration_age_milliseconds").Update(n.configs.ProofAge().Milliseconds())
+		if table := n.configs.Current(); table != nil {
+			n.metrics.Gauge("monsoonrail_edge_configuration_revision").Update(int64(table.Config.Revision))
+		}
+		n.metrics.ServeHTTP(w, req)
+	})
+	return mux
+}
+
 // isReady reports whether the node can answer requests.
 func (n *Node) isReady() bool {
 	return !n.isStopping.Load() && n.configs.Current() != nil && n.backends.Len() > 0
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -123,7 +123,7 @@
 	running := edge.New(edge.Options{
 		Settings: site.Settings{
 			Node: api.NodeID("node-" + ip), FailureDomain: "z1",
-			Listen: site.Listen{Callers: ip + ":80", Ready: ip + ":81", Addresses: ip + ":82", Peers: ip + ":83"},
+			Listen: site.Listen{Callers: ip + ":80", Ready: ip + ":81", Addresses: ip + ":82", Peers: ip + ":83", Metrics: ip + ":84"},
 			Bounds: site.Bounds{
 				Drain: 2 * time.Second, Grace: 8 * time.Second, ConfigApply: 2 * time.Second, Revoke: 5 * time.Second,
 				RetryRatio: 0.9, RetrySlack: 56, RetryWindow: 10 * time.Second, Session: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
@@ -377,6 +377,33 @@
 	})
 }
 
+// TestMetricsTellHowRequestsEnd asks for the series after a stream, a refused key and a server's failure.
+func TestMetricsTellHowRequestsEnd(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.ask(context.Background(), 0, "/s/1", "key-1")
+		w.ask(context.Background(), 0, "/c/1", "other")
+		w.calls.Answer(http.StatusInternalServerError, false)
+		w.ask(context.Background(), 0, "/c/1", "key-1")
+		resp, err := w.client.Get("http://" + w.nodes[0].ip + ":84/metrics")
+		w.c.Assert(err, qt.IsNil)
+		text, err := io.ReadAll(resp.Body)
+		w.c.Assert(err, qt.IsNil)
+		w.c.Assert(resp.Body.Close(), qt.IsNil)
+		for _, line := range []string{
+			`monsoonrail_gateway_requests{route="stream",outcome="request answered"} 1`,
+			`monsoonrail_gateway_team_requests{team="school",outcome="request answered"} 2`,
+			`monsoonrail_gateway_refused{reason="unknown key"} 1`,
+			`monsoonrail_gateway_offers{service="calls",version="v1",outcome="server's failure"} 1`,
+			`monsoonrail_gateway_request_microseconds_count{route="stream"} 1`,
+			`monsoonrail_gateway_first_event_microseconds_count{route="stream"} 1`,
+			`monsoonrail_edge_servers 3`,
+			`monsoonrail_edge_nodes 2`,
+		} {
+			w.c.Check(string(text), qt.Contains, line+"\n")
+		}
+	})
+}
+
 // TestFollowersLeaveANodeCutFromTheStore silences the store for one node after the other, so that in turn it is the node that the
 // others follow: a configuration accepted in that moment is in force on all others within the time that operators are told.
 func TestFollowersLeaveANodeCutFromTheStore(t *testing.T) {
--- a/internal/eventlog/handler_test.go
+++ b/internal/eventlog/handler_test.go
@@ -138,3 +138,13 @@
 		}).Info("attempt begun")
 	}
 }
+
+// TestStandardLoggerKeepsLines writes through the standard library's logger.
+func TestStandardLoggerKeepsLines(t *testing.T) {
+	lines := memory.New()
+	StandardLogger(&log.Logger{Handler: lines, Level: log.DebugLevel}, "connection failed").Printf("accept: %s", "too many open files")
+	qt.Assert(t, lines.Entries, qt.HasLen, 1)
+	qt.Assert(t, lines.Entries[0].Level, qt.Equals, log.WarnLevel)
+	qt.Assert(t, lines.Entries[0].Message, qt.Equals, "connection failed")
+	qt.Assert(t, lines.Entries[0].Fields.Get("detail"), qt.Equals, "accept: too many open files")
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -66,7 +66,8 @@
 		fields["team"] = string(wk.teamName())
 		fields["took"] = time.Since(wk.arrived).Round(time.Millisecond).String()
 		fields["configuration"] = int64(wk.revision)
+		g.countEnd(wk, "request refused")
 	}
 	g.opts.Log.WithFields(fields).Info("request refused")
-	g.opts.Metrics.Counter("monsoonrail_gateway_refused").Inc(1)
+	g.countRefusal(r.reason)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,7 +36,7 @@
 		}
 		if len(event.Raw) > 0 && !r.hasSent(event.ID) {
 			if !r.write(control, answer, event, !events.HasBuffered() || isEnd) {
-				r.explain("caller left", "")
+				r.finish("caller left", "")
 				return verdictDone
 			}
 		}
@@ -47,7 +47,8 @@
 			if !r.isSlow {
 				r.observe(member, versionrollout.Outcome{Pace: pace})
 			}
-			r.explain("request answered", "")
+			r.countOffer(member, offerAnswered)
+			r.finish("request answered", "")
 			return verdictDone
 		}
 		r.watchPace(member, pace)
@@ -83,6 +84,7 @@
 		return
 	}
 	r.hasHead = true
+	r.countFirstEvent()
 	copyAnswerHeader(r.w.Header(), answer.Header)
 	r.w.WriteHeader(answer.Status)
 }
@@ -103,7 +105,7 @@
 // streamFailed takes in that a stream broke, fell silent or ran into the deadline.
 func (r *run) streamFailed(ctx context.Context, member *backend.Member, err error, offered time.Time) verdict {
 	if ctx.Err() != nil && time.Now().Before(r.deadline) {
-		r.explain("caller left", "")
+		r.finish("caller left", "")
 		return verdictDone
 	}
 	if !time.Now().Before(r.deadline) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -85,6 +85,7 @@
 	if next == r.modelIndex || !r.g.opts.Budget.Repeat(r.service.Name, time.Now()) {
 		return false
 	}
+	r.countEscalation(r.model)
 	r.useModel(next)
 	return true
 }
@@ -109,7 +110,7 @@
 	isRepeat := false
 	for {
 		if errors.Is(ctx.Err(), context.Canceled) {
-			r.explain("caller left", "")
+			r.finish("caller left", "")
 			panic(http.ErrAbortHandler)
 		}
 		if refusal := r.mayOffer(ctx, isRepeat); refusal != nil {
@@ -294,6 +295,11 @@
 // failed takes in an offer without an answer.
 func (r *run) failed(member *backend.Member, err error, offered time.Time) verdict {
 	member.Fail(time.Now())
+	if upstream.IsErrNotSent(err) {
+		r.countOffer(member, offerNotRun)
+	} else {
+		r.countOffer(member, offerLost)
+	}
 	r.g.opts.Log.WithFields(log.Fields{
 		"request": string(r.ID), "server": string(member.ID), "offer": r.sends, "took": time.Since(offered).Round(time.Millisecond).String(),
 		"sent": !upstream.IsErrNotSent(err),
@@ -337,6 +343,7 @@
 // notRun takes in a server's word that it did not run the request.
 func (r *run) notRun(member *backend.Member, answer *upstream.Answer, info AnswerInfo) verdict {
 	drain(answer)
+	r.countOffer(member, offerNotRun)
 	now := time.Now()
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
@@ -361,12 +368,12 @@
 // giveUp ends the request without a server's whole answer.
 func (r *run) giveUp(why *refusal) {
 	if r.hasHead {
-		r.explain("stream broken off", why.reason)
+		r.finish("stream broken off", why.reason)
 		panic(http.ErrAbortHandler)
 	}
 	if r.lastFailure != nil {
 		r.send(r.lastFailure)
-		r.explain("server's failure handed on", why.reason)
+		r.finish("server's failure handed on", why.reason)
 		return
 	}
 	if why.status == http.StatusServiceUnavailable && r.runs > 0 {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -34,7 +34,8 @@
 	member.Succeed()
 	r.observe(member, versionrollout.Outcome{Pace: versionrollout.Pace(time.Since(offered), 0, 0)})
 	r.send(read)
-	r.explain("request answered", "")
+	r.countOffer(member, offerAnswered)
+	r.finish("request answered", "")
 	return verdictDone
 }
 
@@ -49,6 +50,7 @@
 	}
 	isServers := read.status >= http.StatusInternalServerError
 	r.observe(member, versionrollout.Outcome{IsFailure: isServers})
+	r.countOffer(member, offerFailed)
 	if isServers {
 		member.NoteFailure()
 	}
@@ -58,7 +60,7 @@
 	}
 	if !r.hasHead {
 		r.send(read)
-		r.explain("request answered", "server's failure")
+		r.finish("request answered", "server's failure")
 	}
 	return verdictDone
 }
--- a/internal/setting/node.go
+++ b/internal/setting/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"net/url"
 	"strings"
 	"time"
@@ -89,6 +90,18 @@
 	return nil
 }
 
+// CheckListen checks the address of a listener, which may be empty or a port on all of the machine's addresses.
+func CheckListen(flag, address string) error {
+	if address == "" {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(address)
+	if number, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || number == 0 || host != "" && net.ParseIP(host) == nil {
+		return bad(flag, address, "a port, or an IP number and a port, such as :9464")
+	}
+	return nil
+}
+
 func checkRange(flag string, value, low, high time.Duration) []error {
 	if value < low || value > high {
 		return []error{bad(flag, value.String(), "from "+low.String()+" to "+high.String())}
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -74,3 +74,13 @@
 	}
 	golden(t, "../../docs/operators/settings.md", page.String())
 }
+
+// TestCheckListen takes a port with or without an IP number, and nothing.
+func TestCheckListen(t *testing.T) {
+	for _, address := range []string{"", ":9464", "127.0.0.1:9464", "[::1]:9464"} {
+		qt.Check(t, setting.CheckListen("metrics-listen", address), qt.IsNil, qt.Commentf("%s", address))
+	}
+	for _, address := range []string{"9464", ":", ":0", ":99999", "host:9464", ":x"} {
+		qt.Check(t, setting.CheckListen("metrics-listen", address), qt.Not(qt.IsNil), qt.Commentf("%s", address))
+	}
+}
