--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -89,6 +89,8 @@
 	Revision Version
 	// Age is how long before the call was sent the result was known to be all; negative if that was later.
 	Age time.Duration
+	// Silence is how long before its arrival the service itself had answered last; 0 unless another node hands the result on.
+	Silence time.Duration
 }
 
 // Event is one change of a key that a watch reports.
@@ -104,6 +106,8 @@
 	Revision Version
 	// Age is how long before the call was sent the batch was known to be all; negative if that was later.
 	Age time.Duration
+	// Silence is how long before its arrival the service itself had answered last; 0 unless another node hands the batch on.
+	Silence time.Duration
 }
 
 // Lease is a lease just granted or kept alive.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -126,7 +126,7 @@
 		if err != nil {
 			return false, err
 		}
-		m.answered(time.Now())
+		m.answered(time.Now().Add(-listed.Silence))
 		m.replace(listed)
 		m.prove(sent - boottime.Time(listed.Age))
 		return false, nil
@@ -145,7 +145,7 @@
 	if err != nil {
 		return false, err
 	}
-	m.answered(time.Now())
+	m.answered(time.Now().Add(-batch.Silence))
 	m.apply(batch)
 	m.prove(sent - boottime.Time(batch.Age))
 	return len(batch.Events) > 0, nil
@@ -163,14 +163,16 @@
 	}
 }
 
-// answered notes that the store answered.
-func (m *Mirror) answered(now time.Time) {
+// answered notes that the store answered at a time, to this node or to the one that handed its answer on.
+func (m *Mirror) answered(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.lastAnswer.IsZero() && now.Sub(m.lastAnswer) > awayAfter+pollWait {
-		m.returned = now
+	if !m.lastAnswer.IsZero() && at.Sub(m.lastAnswer) > awayAfter+pollWait {
+		m.returned = at
+	}
+	if at.After(m.lastAnswer) {
+		m.lastAnswer = at
 	}
-	m.lastAnswer = now
 }
 
 // replace takes in a whole list.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -215,3 +216,52 @@
 		qt.Assert(t, kv.IsErrCompacted(err), qt.IsTrue)
 	})
 }
+
+// follower hands a mirror on as another node does.
+type follower struct{ *mirror.Mirror }
+
+func (f follower) List(context.Context, string) (kv.ListResult, error) { return f.Listing() }
+
+func (f follower) Poll(ctx context.Context, _ string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
+	return f.Changes(ctx, after, wait)
+}
+
+// TestNodesDoNotTakeEachOtherForTheStore lets two nodes that are cut from the store follow each other: neither hands its copy on for
+// longer than one alone would.
+func TestNodesDoNotTakeEachOtherForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &source{pairs: make(map[string]kv.Pair), revision: 10}
+		began := time.Now()
+		var isCut atomic.Bool
+		nodes := make([]*mirror.Mirror, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for i := range nodes {
+			nodes[i] = mirror.New(mirror.Options{
+				Source: func() mirror.Store {
+					if isCut.Load() {
+						return follower{nodes[1-i]}
+					}
+					return store
+				},
+				Changed: func([]string) {},
+				Now:     func() boottime.Time { return boottime.Time(time.Since(began) + time.Hour) },
+			})
+		}
+		for _, node := range nodes {
+			running.Go(func() { _ = node.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		isCut.Store(true)
+		const longest = 3 * time.Second
+		time.Sleep(longest)
+		for _, node := range nodes {
+			_, err := node.Listing()
+			qt.Check(t, kv.IsErrUnavailable(err), qt.IsTrue, qt.Commentf("%v", err))
+			_, err = node.Changes(ctx, 10, time.Second)
+			qt.Check(t, kv.IsErrUnavailable(err), qt.IsTrue, qt.Commentf("%v", err))
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -18,7 +18,7 @@
 	if err := m.mayHandOn(); err != nil {
 		return kv.ListResult{}, err
 	}
-	listed := kv.ListResult{Revision: m.revision, Age: time.Duration(m.opts.Now() - m.provenAt)}
+	listed := kv.ListResult{Revision: m.revision, Age: time.Duration(m.opts.Now() - m.provenAt), Silence: time.Since(m.lastAnswer)}
 	for _, pair := range m.pairs {
 		listed.Pairs = append(listed.Pairs, pair)
 	}
@@ -70,7 +70,9 @@
 	if after < m.historyFrom {
 		return kv.WatchBatch{}, nil, kv.Error.Wrap(&kv.ErrCompacted{Oldest: m.historyFrom})
 	}
-	batch := kv.WatchBatch{Revision: max(m.revision, after), Age: time.Duration(m.opts.Now() - m.provenAt)}
+	batch := kv.WatchBatch{
+		Revision: max(m.revision, after), Age: time.Duration(m.opts.Now() - m.provenAt), Silence: time.Since(m.lastAnswer),
+	}
 	for _, event := range m.history {
 		if event.Pair.Version > after {
 			batch.Events = append(batch.Events, event)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,13 +47,14 @@
 	Events   []kv.Event
 	Revision kv.Version
 	Age      time.Duration
+	Silence  time.Duration
 }
 
 // Handle adds the calls that hand a mirror on.
 func Handle(mux *http.ServeMux, mirror Mirror) {
 	mux.HandleFunc("POST "+pathList, func(w http.ResponseWriter, _ *http.Request) {
 		listed, err := mirror.Listing()
-		answer := pollAnswer{Revision: listed.Revision, Age: listed.Age}
+		answer := pollAnswer{Revision: listed.Revision, Age: listed.Age, Silence: listed.Silence}
 		for _, pair := range listed.Pairs {
 			answer.Events = append(answer.Events, kv.Event{Pair: pair})
 		}
@@ -66,7 +67,7 @@
 			return
 		}
 		batch, err := mirror.Changes(req.Context(), asked.After, asked.Wait)
-		respond(w, pollAnswer{Events: batch.Events, Revision: batch.Revision, Age: batch.Age}, err)
+		respond(w, pollAnswer{Events: batch.Events, Revision: batch.Revision, Age: batch.Age, Silence: batch.Silence}, err)
 	})
 }
 
@@ -96,7 +97,7 @@
 	if err != nil {
 		return kv.ListResult{}, err
 	}
-	listed := kv.ListResult{Revision: answer.Revision, Age: answer.Age}
+	listed := kv.ListResult{Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence}
 	for _, event := range answer.Events {
 		listed.Pairs = append(listed.Pairs, event.Pair)
 	}
@@ -109,7 +110,7 @@
 	if err != nil {
 		return kv.WatchBatch{}, err
 	}
-	return kv.WatchBatch{Events: answer.Events, Revision: answer.Revision, Age: answer.Age}, nil
+	return kv.WatchBatch{Events: answer.Events, Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence}, nil
 }
 
 func (c *Client) call(ctx context.Context, path string, asked pollRequest) (pollAnswer, error) {
--- a/internal/setting/node.go
+++ b/internal/setting/node.go
@@ -2,8 +2,8 @@
 
 import (
 	"net"
-	"strconv"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
