--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 )
 
@@ -55,7 +56,7 @@
 	if seed == "" {
 		seed = string(info.ID)
 	}
-	point := fraction(string(r.Name)+"\x00"+seed) * total
+	point := rendezvous.Fraction(xxhash.Sum64String(string(r.Name)+"\x00"+seed)) * total
 	for _, t := range r.Targets {
 		if point < t.Weight {
 			return t.Service
@@ -64,9 +65,3 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
-
-// fraction hashes a text to a number from 0 to below 1.
-func fraction(text string) float64 {
-	const bits = 53
-	return float64(xxhash.Sum64String(text)>>(64-bits)) / (1 << bits)
-}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -12,8 +11,6 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
-	"github.com/monsoonrail/monsoonrail/internal/placement"
-	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
@@ -26,10 +23,6 @@
 	maxSends = 8
 	// refusedPause is the wait before a request goes to another server after one refused it without running it.
 	refusedPause = 10 * time.Millisecond
-	// bytesPerToken is about what a generated token takes on the wire.
-	bytesPerToken = 10
-	// tokensPerSlot is how many prompt tokens, read in chunks between the others' steps, delay as much as one more request.
-	tokensPerSlot = 1500
 )
 
 // run answers one request, with the answers of one server or of several in turn.
@@ -162,155 +155,6 @@
 	return nil
 }
 
-// place chooses a server, or returns nil if there is none.
-func (r *run) place() *backend.Member {
-	now := time.Now()
-	r.isFilling = false
-	r.choice = r.g.opts.Versions.Pick(r.service.Name, r.Session, string(r.ID), now)
-	members := r.g.opts.Backends.Of(r.service.Name)
-	fitting := r.fitting(members, true)
-	if len(fitting) == 0 && !r.choice.IsStrict {
-		fitting = r.fitting(members, false)
-	}
-	if len(fitting) == 0 {
-		return nil
-	}
-	fitting = r.onTrial(fitting, now)
-	key := r.affinity()
-	if key == "" {
-		key = string(r.ID)
-	}
-	fitting = rendezvous.Rank(key, fitting, func(m *backend.Member) string { return string(m.ID) })
-	candidates := make([]placement.Candidate, len(fitting))
-	parts := r.partKeys()
-	for i, m := range fitting {
-		candidates[i] = placement.Candidate{
-			View: m.View(now), Slots: m.Slots, IsSameDomain: m.FailureDomain == r.g.opts.FailureDomain,
-			IsTried: slices.Contains(r.tried, m.ID),
-		}
-		cached := m.CachedParts(parts, now)
-		if i == 0 {
-			// The first by rank is where every node sends requests that share these parts.
-			cached = len(parts)
-		}
-		for _, part := range r.Parts[:cached] {
-			candidates[i].CachedTokens += part.Tokens
-		}
-	}
-	asked := placement.Request{Tokens: r.TokensIn, Bytes: len(r.body) + bytesPerToken*r.expectedTokens()}
-	if r.service.Engine != nil {
-		asked.TokensPerSlot = tokensPerSlot
-	}
-	chosen := fitting[placement.Choose(asked, candidates)]
-	chosen.UseParts(parts, now)
-	return chosen
-}
-
-// expectedTokens is the caller's guess of the answer's size, or half of its bound.
-func (r *run) expectedTokens() int {
-	if r.TokensHint > 0 {
-		return min(r.TokensHint, r.TokensOut)
-	}
-	return r.TokensOut / 2
-}
-
-// partKeys names the parts of the prompt that other requests may share, and the model that reads them.
-func (r *run) partKeys() []string {
-	var keys []string
-	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
-		keys = append(keys, string(r.model)+"/"+part.ID)
-	}
-	return keys
-}
-
-// fitting returns the servers that may take the request; ofVersion keeps to the chosen version.
-func (r *run) fitting(members []*backend.Member, ofVersion bool) []*backend.Member {
-	var fitting []*backend.Member
-	for _, m := range members {
-		if m.HasLeft() {
-			continue
-		}
-		if ofVersion && r.choice.Target != "" && (m.Version == r.choice.Target) != r.choice.UseTarget {
-			continue
-		}
-		fitting = append(fitting, m)
-	}
-	return fitting
-}
-
-// offer sends the request to a server and hands its answer on.
-func (r *run) offer(ctx context.Context, member *backend.Member) verdict {
-	offered := time.Now()
-	header := r.header.Clone()
-	r.g.opts.Wire.SetForward(header, Forward{
-		ID: r.ID, Team: r.teamName(), Server: member.ID, TimeLeft: time.Until(r.deadline),
-		Model: r.model, LastEvent: r.lastEvent, Urgency: r.priority(), HasUrgency: r.service.Engine != nil,
-	})
-	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	patience := time.AfterFunc(r.headPatience(), cancel)
-	defer patience.Stop()
-	endWatch := r.watchFirst(member)
-	defer endWatch()
-	load := newOffer(member, r.TokensIn)
-	defer load.end()
-	defer r.g.opts.Versions.Begin(r.service.Name, member.Version)()
-	answer, err := r.g.opts.Pool.Send(sendCtx, member.Address, &upstream.Request{
-		ID: string(r.ID), Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, HasBody: r.hasBody,
-	})
-	if err != nil {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			// The caller left; the server is not to blame.
-			return verdictMayHaveRun
-		}
-		return r.failed(member, err, offered)
-	}
-	defer answer.Close()
-	patience.Stop()
-	endWatch()
-	load.firstByte()
-	return r.take(ctx, member, answer, offered)
-}
-
-// headPatience is how long a server may take for the head of its answer.
-func (r *run) headPatience() time.Duration {
-	left := time.Until(r.deadline)
-	if !r.route.MayRepeat() || r.runs+1 >= r.route.MaxAttempts {
-		return left
-	}
-	patience := left / 2
-	if r.route.TargetLatency > 0 {
-		patience = max(min(patience, firstPatience*r.route.TargetLatency), minPatience)
-	}
-	return min(patience, left)
-}
-
-const (
-	// firstPatience is how often the target latency passes before a request that may be repeated is sent to another server.
-	firstPatience = 2
-	// minPatience bounds the wait from below, so that short targets don't double the load of busy servers.
-	minPatience = 250 * time.Millisecond
-)
-
-// failed takes in an offer without an answer.
-func (r *run) failed(member *backend.Member, err error, offered time.Time) verdict {
-	member.Fail(time.Now())
-	if upstream.IsErrNotSent(err) {
-		r.countOffer(member, offerNotRun)
-	} else {
-		r.countOffer(member, offerLost)
-	}
-	r.g.opts.Log.WithFields(log.Fields{
-		"request": string(r.ID), "server": string(member.ID), "offer": r.sends, "took": time.Since(offered).Round(time.Millisecond).String(),
-		"sent": !upstream.IsErrNotSent(err),
-	}).WithError(err).Info("offer failed")
-	if upstream.IsErrNotSent(err) {
-		return verdictNotRun
-	}
-	// A lost answer is no evidence against the server's version: servers crash and links break at all versions, many requests at once.
-	return verdictMayHaveRun
-}
-
 // take decides by the head of an answer.
 func (r *run) take(ctx context.Context, member *backend.Member, answer *upstream.Answer, offered time.Time) verdict {
 	info := r.g.opts.Wire.ReadAnswer(answer.Header)
@@ -340,31 +184,6 @@
 	return r.serverFailed(member, answer, info, offered)
 }
 
-// notRun takes in a server's word that it did not run the request.
-func (r *run) notRun(member *backend.Member, answer *upstream.Answer, info AnswerInfo) verdict {
-	drain(answer)
-	r.countOffer(member, offerNotRun)
-	now := time.Now()
-	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
-		// The address belongs to another server by now.
-		member.Leave()
-	case info.HasLoad && info.Load.Running+info.Load.Waiting < info.Load.Slots:
-		// A server that refuses with free slots is leaving or at fault.
-		member.Fail(now)
-	default:
-		member.Avoid(now.Add(fullAvoidance))
-	}
-	r.g.opts.Log.WithFields(log.Fields{
-		"request": string(r.ID), "server": string(member.ID), "offer": r.sends, "status": answer.Status,
-		"running": info.Load.Running, "waiting": info.Load.Waiting, "slots": info.Load.Slots,
-	}).Info("server refused")
-	return verdictNotRun
-}
-
-// fullAvoidance is how long a full server is passed over: a few requests' time.
-const fullAvoidance = 50 * time.Millisecond
-
 // giveUp ends the request without a server's whole answer.
 func (r *run) giveUp(why *refusal) {
 	if r.hasHead {
@@ -394,22 +213,3 @@
 		"took": time.Since(r.arrived).Round(time.Millisecond).String(),
 	}).Info(what)
 }
-
-// offerLoad counts a request at a server while it is there.
-type offerLoad struct {
-	member *backend.Member
-	// tokens is how many prompt tokens are still to be read.
-	tokens int
-}
-
-func newOffer(member *backend.Member, tokens int) *offerLoad {
-	member.Begin(tokens)
-	return &offerLoad{member: member, tokens: tokens}
-}
-
-func (o *offerLoad) firstByte() {
-	o.member.FirstByte(o.tokens)
-	o.tokens = 0
-}
-
-func (o *offerLoad) end() { o.member.End(o.tokens) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,8 +22,8 @@
 	// hundred prompt tokens.
 	domainPenaltyPerKilobyte = 0.16
 	bytesPerKilobyte         = 1000
-	// slowestCounted bounds the learnt slowness.
-	slowestCounted = 10.0
+	// leastSlowness bounds how much faster than usual a server is taken for; how much slower, package backend bounds.
+	leastSlowness = 0.1
 )
 
 // Candidate is a server that may take a request.
@@ -74,7 +74,7 @@
 		read := float64(req.Tokens-c.CachedTokens) + float64(c.View.TokensAhead)
 		cost += read / req.TokensPerSlot
 	}
-	cost *= min(max(c.View.Slowness, 1/slowestCounted), slowestCounted)
+	cost *= max(c.View.Slowness, leastSlowness)
 	if !c.IsSameDomain {
 		cost += domainPenaltyPerKilobyte * float64(req.Bytes) / bytesPerKilobyte
 	}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -68,3 +68,9 @@
 	}
 	return out
 }
+
+// Fraction turns a hash into a number from 0 to below 1.
+func Fraction(hash uint64) float64 {
+	const bits = 53
+	return float64(hash>>(64-bits)) / (1 << bits)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,8 +45,6 @@
 	// idle holds the unused connections by address, the one used last at the end.
 	idle   map[string][]*conn
 	closed bool
-	// dialed counts the connections opened.
-	dialed int64
 }
 
 // NewPool returns an empty pool; Close must be called.
@@ -96,9 +94,6 @@
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	p.dialed++
-	p.mu.Unlock()
 	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
@@ -133,13 +128,6 @@
 	}
 }
 
-// Dialed returns how many connections were opened.
-func (p *Pool) Dialed() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialed
-}
-
 // Sweep closes connections that were idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	var stale []*conn
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -2,22 +2,17 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
-// maxRecentSessions bounds the sessions that a node remembers for each service.
-const maxRecentSessions = 20000
-
 // Choice restricts a request to servers of one version, or to those of all others.
 type Choice struct {
 	// Target is empty where every version may run the request.
@@ -170,23 +165,6 @@
 	return r.sessions()
 }
 
-// KeepSessions takes in the sessions of all nodes that keep their version.
-func (b *Book) KeepSessions(order Order, sessions []uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r, ok := b.rollouts[order.Service]; ok && r.order.Revision == order.Revision {
-		r.keepSessions(sessions)
-	}
-}
-
-func (r *rollout) keepSessions(sessions []uint64) {
-	for _, session := range sessions {
-		r.keepOld[session] = true
-	}
-}
-
-func (r *rollout) sessions() []uint64 { return slices.Collect(maps.Keys(r.keepOld)) }
-
 // judge stops the target where the evidence is against it; b.mu is held.
 func (b *Book) judge(r *rollout) {
 	if r.isStopped || r.status.State == StateCompleted {
@@ -238,7 +216,7 @@
 	if session == "" {
 		hash = sessionHash(service, id)
 	}
-	choice.UseTarget = fraction(hash) < share
+	choice.UseTarget = rendezvous.Fraction(hash) < share
 	choice.Fill = Fill(elapsed, r.order.Duration)
 	if session == "" || !KeepsSessions(elapsed, r.order.Duration) {
 		return choice
@@ -251,44 +229,6 @@
 	return choice
 }
 
-// keep lets a session stay with the version that it has, if the target's first share would move it; b.mu is held.
-func (b *Book) keep(r *rollout, hash uint64) {
-	if fraction(hash) < Share(startTime, r.order.Duration, b.opts.Exposure) {
-		r.keepOld[hash] = true
-	}
-}
-
-// sessionHash spreads the sessions of a service; every node computes the same.
-func sessionHash(service route.Service, session string) uint64 {
-	return xxhash.Sum64String(string(service) + "\x00" + session)
-}
-
-// remember notes that a session is in use; b.mu is held.
-func (b *Book) remember(service route.Service, hash uint64, now time.Time) {
-	sessions, ok := b.recent[service]
-	if !ok {
-		sessions = make(map[uint64]time.Time)
-		b.recent[service] = sessions
-	}
-	if len(sessions) >= maxRecentSessions {
-		for old, seen := range sessions {
-			if now.Sub(seen) > b.opts.Session {
-				delete(sessions, old)
-			}
-		}
-		if len(sessions) >= maxRecentSessions {
-			clear(sessions)
-		}
-	}
-	sessions[hash] = now
-}
-
-// fraction turns a hash into a number from 0 to below 1.
-func fraction(hash uint64) float64 {
-	const bits = 53
-	return float64(hash>>(64-bits)) / (1 << bits)
-}
-
 // Outcome is how a server answered a request.
 type Outcome struct {
 	Service route.Service
@@ -397,25 +337,6 @@
 	return due
 }
 
-// listSessions notes the sessions that run when the target is about to get its first share, and has them reported until they are
-// known to all; b.mu is held.
-func (b *Book) listSessions(service route.Service, r *rollout, now time.Time) {
-	elapsed := now.Sub(r.begin)
-	if elapsed < listTime || r.hasListed && elapsed >= listedTime {
-		return
-	}
-	r.dirty = true
-	if r.hasListed {
-		return
-	}
-	r.hasListed = true
-	for session, seen := range b.recent[service] {
-		if now.Sub(seen) <= b.opts.Session {
-			b.keep(r, session)
-		}
-	}
-}
-
 // nextState returns the state that is to be written, StateNone if there is nothing to write.
 func (r *rollout) nextState(now time.Time) State {
 	switch {
