Lower the confidence that a small model's answer needs while servers are full

The thresholds now fall from 0.3 of the slots taken on. Tried and reverted: leaving requests at busy servers.

--- a/internal/gateway/headers_test.go
+++ b/internal/gateway/headers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 
@@ -37,10 +38,57 @@
 	models := []route.Model{"small", "middle", "large"}
 	cascade := Cascade{MinConfidence: []int{60, 40}}
 	qt.Assert(t, cascade.First(models), qt.Equals, 0)
-	for _, test := range []struct{ confidence, priority, want int }{
-		{60, 0, 0}, {59, 0, 2}, {40, 1, 0}, {39, 1, 2}, {45, 9, 0},
+	for _, test := range []struct {
+		confidence, priority int
+		load                 float64
+		want                 int
+	}{
+		{60, 0, 0, 0}, {59, 0, 0, 2}, {40, 1, 0, 0}, {39, 1, 0, 2}, {45, 9, 0, 0},
+		// Calm, strained and full servers.
+		{59, 0, 0.2, 2}, {50, 0, 0.5, 0}, {30, 0, 0.5, 2}, {10, 0, 1.5, 0}, {0, 0, 1.5, 2},
 	} {
-		qt.Check(t, cascade.Next(models, 0, test.confidence, test.priority), qt.Equals, test.want, qt.Commentf("%+v", test))
+		got := cascade.Next(models, 0, test.confidence, test.priority, test.load)
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
-	qt.Check(t, cascade.Next(models, 2, 0, 0), qt.Equals, 2)
+	qt.Check(t, cascade.Next(models, 2, 0, 0, 0), qt.Equals, 2)
+}
+
+// TestCascadeUnderOverload sends 20 requests a second, two fifths of which a small model answers badly, to servers that give 10 s of work
+// a second to small answers of 0.1 s and large ones of 1 s: with thresholds that fall under load more good answers come in time than with
+// thresholds that stay, which let work pile up.
+func TestCascadeUnderOverload(t *testing.T) {
+	models := []route.Model{"small", "large"}
+	cascade := Cascade{MinConfidence: []int{60}}
+	const (
+		perSecond, seconds, capacity  = 20, 60, 6.0
+		smallWork, largeWork, longest = 0.1, 1.0, 2.0
+		slots                         = 32.0
+	)
+	play := func(follows bool) (good int) {
+		rng := rand.New(rand.NewPCG(1, 1))
+		backlog := 0.0
+		for range perSecond * seconds {
+			backlog = max(0, backlog-capacity/perSecond)
+			load := 0.0
+			if follows {
+				load = backlog / smallWork / slots
+			}
+			isHard := rng.Float64() < 0.4
+			confidence := 70 + rng.IntN(30)
+			if isHard {
+				confidence = rng.IntN(50)
+			}
+			backlog += smallWork
+			index := cascade.Next(models, 0, confidence, 0, load)
+			if index > 0 {
+				backlog += largeWork
+			}
+			if backlog/capacity <= longest && (index > 0 || !isHard) {
+				good++
+			}
+		}
+		return good
+	}
+	fixed, following := play(false), play(true)
+	qt.Assert(t, following > 3*fixed/2, qt.IsTrue, qt.Commentf("%d with fixed thresholds, %d with those that follow the load", fixed, following))
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -55,6 +55,7 @@
 	if r.service.Engine != nil {
 		asked.TokensPerSlot = tokensPerSlot
 	}
+	r.load = placement.Load(candidates)
 	chosen := fitting[placement.Choose(asked, candidates)]
 	chosen.UseParts(parts, now)
 	return chosen
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,6 +45,8 @@
 	hasHead bool
 	// choice restricts the versions of the servers.
 	choice versionrollout.Choice
+	// load is the part of the service's slots that were taken when a server was chosen.
+	load float64
 	// isFirstSlow tells that the first event of this offer was counted as slow before it came, isSlow that the whole answer was.
 	isFirstSlow atomic.Bool
 	isSlow      bool
@@ -74,7 +76,7 @@
 	if r.model == "" || !info.HasConfidence || r.hasHead || r.runs+1 >= r.route.MaxAttempts {
 		return false
 	}
-	next := r.g.opts.Models.Next(r.route.Models, r.modelIndex, info.Confidence, r.priority())
+	next := r.g.opts.Models.Next(r.route.Models, r.modelIndex, info.Confidence, r.priority(), r.load)
 	if next == r.modelIndex || !r.g.opts.Budget.Repeat(r.service.Name, time.Now()) {
 		return false
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -107,6 +107,17 @@
 	return sum / weights
 }
 
+// Load estimates the part of the servers' slots that are taken, beyond 1 where requests wait.
+func Load(candidates []Candidate) float64 {
+	usual := UsualOthers(candidates)
+	ahead, slots := 0.0, 0
+	for _, c := range candidates {
+		ahead += Ahead(c, usual)
+		slots += c.Slots
+	}
+	return ahead / float64(max(slots, 1))
+}
+
 // trustIn is the weight of a server's last report, from 1 for one just made to 0.
 func trustIn(c Candidate) float64 {
 	if !c.View.HasLoad {
