--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
@@ -37,7 +38,9 @@
 // watchFirst counts a stream's first event as slow once it is, without waiting for it: answers that are several times slower than
 // usual would be counted last. The returned function ends the watch.
 func (r *run) watchFirst(member *backend.Member) (end func()) {
-	r.isFirstSlow.Store(false)
+	// The timer of an earlier offer must not touch this one's.
+	isFirstSlow := new(atomic.Bool)
+	r.isFirstSlow = isFirstSlow
 	r.isSlow = false
 	r.slowPace = r.g.opts.Versions.SlowPace(r.service.Name, r.evidenceKind())
 	limit := r.g.opts.Versions.SlowPace(r.service.Name, r.firstKind())
@@ -46,7 +49,7 @@
 	}
 	outcome := versionrollout.Outcome{Service: r.service.Name, Version: member.Version, Route: r.firstKind(), Pace: limit}
 	timer := time.AfterFunc(versionrollout.TimeAt(limit, r.TokensIn, 0), func() {
-		r.isFirstSlow.Store(true)
+		isFirstSlow.Store(true)
 		r.g.opts.Versions.Observe(outcome)
 	})
 	return func() { timer.Stop() }
@@ -55,9 +58,9 @@
 // minPaceEvents is from how many events on a stream's pace is compared with that of whole answers.
 const minPaceEvents = 8
 
-// watchPace counts a stream as slow once it is.
-func (r *run) watchPace(member *backend.Member, pace float64) {
-	if r.isSlow || r.events < minPaceEvents || r.slowPace == 0 || pace <= r.slowPace {
+// watchPace counts a stream, of which a server has sent so many events, as slow once it is.
+func (r *run) watchPace(member *backend.Member, pace float64, events int) {
+	if r.isSlow || events < minPaceEvents || r.slowPace == 0 || pace <= r.slowPace {
 		return
 	}
 	r.isSlow = true
--- a/internal/gateway/headers_test.go
+++ b/internal/gateway/headers_test.go
@@ -53,8 +53,8 @@
 	qt.Check(t, cascade.Next(models, 2, 0, 0, 0), qt.Equals, 2)
 }
 
-// TestCascadeUnderOverload sends 20 requests a second, two fifths of which a small model answers badly, to servers that give 10 s of work
-// a second to small answers of 0.1 s and large ones of 1 s: with thresholds that fall under load more good answers come in time than with
+// TestCascadeUnderOverload sends 20 requests a second, two fifths of which a small model answers badly, to servers that do 6 s of work
+// a second, where small answers take 0.1 s and large ones 1 s: with thresholds that fall under load more good answers come in time than with
 // thresholds that stay, which let work pile up.
 func TestCascadeUnderOverload(t *testing.T) {
 	models := []route.Model{"small", "large"}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 			r.finish("request answered", "")
 			return verdictDone
 		}
-		r.watchPace(member, pace)
+		r.watchPace(member, pace, r.events-before)
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +48,7 @@
 	// load is the part of the service's slots that were taken when a server was chosen.
 	load float64
 	// isFirstSlow tells that the first event of this offer was counted as slow before it came, isSlow that the whole answer was.
-	isFirstSlow atomic.Bool
+	isFirstSlow *atomic.Bool
 	isSlow      bool
 	// slowPace is that from which on this offer's answer counts as slow, 0 if too little is known.
 	slowPace float64
@@ -175,7 +175,7 @@
 		r.observeFirst(member, time.Since(offered))
 		if r.escalates(info) {
 			member.Succeed()
-			r.explain("model escalated", strconv.Itoa(info.Confidence))
+			r.explain("model escalated", fmt.Sprintf("confidence %d at load %.2f", info.Confidence, r.load))
 			return verdictEscalated
 		}
 		if r.route.Kind == route.KindStream {
