End the lease of an entry that was written while its node left

Leave found no lease yet while the entry was being written, so that a stopped node stayed on the list for up to 3 s. Tests of the calls between nodes and of the list.

--- a/internal/nodelist/nodelist.go
+++ b/internal/nodelist/nodelist.go
@@ -127,12 +127,21 @@
 		return err
 	}
 	a.lease.Store(int64(lease.ID))
+	if a.left.Load() {
+		// Leave came while the entry was being written.
+		return a.endLease(ctx)
+	}
 	return nil
 }
 
 // Leave takes the node off the list for good.
 func (a *Announcer) Leave(ctx context.Context) error {
 	a.left.Store(true)
+	return a.endLease(ctx)
+}
+
+// endLease ends the entry's lease, if it has one.
+func (a *Announcer) endLease(ctx context.Context) error {
 	id := kv.LeaseID(a.lease.Swap(0))
 	if id == 0 {
 		return nil
--- /dev/null
+++ b/internal/nodelist/nodelist_test.go
@@ -0,0 +1,184 @@
+package nodelist_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+)
+
+// store holds leases and the keys under them.
+type store struct {
+	mu     sync.Mutex
+	last   kv.LeaseID
+	leases map[kv.LeaseID]time.Duration
+	keys   map[string]kv.Pair
+	calls  int
+	err    error
+	// writeTime is how long a write takes.
+	writeTime time.Duration
+}
+
+func newStore() *store {
+	return &store{leases: make(map[kv.LeaseID]time.Duration), keys: make(map[string]kv.Pair)}
+}
+
+func (s *store) Grant(_ context.Context, ttl time.Duration) (kv.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.err != nil {
+		return kv.Lease{}, s.err
+	}
+	s.last++
+	s.leases[s.last] = ttl
+	return kv.Lease{ID: s.last, TTL: ttl}, nil
+}
+
+func (s *store) KeepAlive(_ context.Context, id kv.LeaseID) (kv.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.err != nil {
+		return kv.Lease{}, s.err
+	}
+	ttl, ok := s.leases[id]
+	if !ok {
+		return kv.Lease{}, kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: id})
+	}
+	return kv.Lease{ID: id, TTL: ttl}, nil
+}
+
+func (s *store) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	time.Sleep(s.writeTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.err != nil {
+		return kv.TxnResult{}, s.err
+	}
+	for _, op := range txn.Then {
+		if _, ok := s.leases[op.Lease]; !ok {
+			return kv.TxnResult{}, kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: op.Lease})
+		}
+		s.keys[op.Key] = kv.Pair{Key: op.Key, Value: op.Value, Lease: op.Lease}
+	}
+	return kv.TxnResult{Succeeded: true}, nil
+}
+
+func (s *store) Revoke(_ context.Context, id kv.LeaseID) error {
+	s.end(id)
+	return nil
+}
+
+// end ends a lease and drops its keys.
+func (s *store) end(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	for key, pair := range s.keys {
+		if pair.Lease == id {
+			delete(s.keys, key)
+		}
+	}
+}
+
+func (s *store) change(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// entry returns the node's entry, and false if it has none.
+func (s *store) entry() (kv.Pair, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pair, ok := s.keys[nodelist.Prefix+"n1"]
+	return pair, ok
+}
+
+// announced runs an announcer in virtual time.
+func announced(t *testing.T, nodes int, test func(s *store, a *nodelist.Announcer)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a := &nodelist.Announcer{
+			Store: s, Node: nodelist.Node{ID: "n1", FailureDomain: "z1", Callers: "10.0.0.1:80"}, MinLease: time.Second,
+			Nodes:    func() int { return nodes },
+			IsListed: func() bool { _, ok := s.entry(); return ok },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = a.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		time.Sleep(10 * time.Millisecond)
+		test(s, a)
+	})
+}
+
+// TestRenewalsGrowLessThanNodes counts the calls of one node: 84 nodes together make no more than about 40 renewals a second.
+func TestRenewalsGrowLessThanNodes(t *testing.T) {
+	for _, test := range []struct{ nodes, calls int }{{1, 60}, {8, 60}, {84, 30}, {590, 20}} {
+		t.Run(fmt.Sprint(test.nodes), func(t *testing.T) {
+			announced(t, test.nodes, func(s *store, _ *nodelist.Announcer) {
+				pair, ok := s.entry()
+				qt.Assert(t, ok, qt.IsTrue)
+				node, err := nodelist.Decode(pair)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, node.Callers, qt.Equals, "10.0.0.1:80")
+				s.change(func() { s.calls = 0 })
+				time.Sleep(time.Minute)
+				s.change(func() { qt.Check(t, s.calls <= test.calls, qt.IsTrue, qt.Commentf("%d calls", s.calls)) })
+			})
+		})
+	}
+}
+
+// TestEntryComesBack ends the lease, drops the entry alone, and keeps the store away: the node is on the list soon after each.
+func TestEntryComesBack(t *testing.T) {
+	announced(t, 8, func(s *store, _ *nodelist.Announcer) {
+		pair, _ := s.entry()
+		s.end(pair.Lease)
+		time.Sleep(1500 * time.Millisecond)
+		_, ok := s.entry()
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("after the lease's end"))
+		s.change(func() { delete(s.keys, nodelist.Prefix+"n1") })
+		time.Sleep(2500 * time.Millisecond)
+		_, ok = s.entry()
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("after the entry was dropped"))
+		s.change(func() { s.err = kv.Error.Wrap(&kv.ErrUnavailable{}) })
+		time.Sleep(10 * time.Second)
+		pair, _ = s.entry()
+		s.end(pair.Lease)
+		s.change(func() { s.err = nil })
+		time.Sleep(500 * time.Millisecond)
+		_, ok = s.entry()
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("after the store's return"))
+	})
+}
+
+// TestLeaveIsFinal takes the node off the list while its entry is being written: it isn't on the list afterwards.
+func TestLeaveIsFinal(t *testing.T) {
+	announced(t, 8, func(s *store, a *nodelist.Announcer) {
+		s.change(func() { s.writeTime = 300 * time.Millisecond })
+		pair, _ := s.entry()
+		s.end(pair.Lease)
+		time.Sleep(1100 * time.Millisecond)
+		qt.Assert(t, a.Leave(context.Background()), qt.IsNil)
+		time.Sleep(5 * time.Second)
+		_, ok := s.entry()
+		qt.Assert(t, ok, qt.IsFalse)
+	})
+}
--- /dev/null
+++ b/internal/rolloutrpc/rolloutrpc_test.go
@@ -0,0 +1,72 @@
+package rolloutrpc_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/rolloutrpc"
+	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+// collector keeps the report that it got.
+type collector struct {
+	service route.Service
+	node    api.NodeID
+	report  versionrollout.NodeReport
+}
+
+func (c *collector) SetReport(service route.Service, node api.NodeID, report versionrollout.NodeReport) []uint64 {
+	c.service, c.node, c.report = service, node, report
+	return []uint64{1 << 63, 7}
+}
+
+func serve(t *testing.T, handler http.Handler) (address string) {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// TestReportArrivesWhole sends a report with evidence and sessions of 64 bits, and gets the collector's sessions.
+func TestReportArrivesWhole(t *testing.T) {
+	c := &collector{}
+	mux := http.NewServeMux()
+	rolloutrpc.Handle(mux, c)
+	report := versionrollout.NodeReport{Order: 12, Evidence: versionrollout.NewEvidence(), AtOld: 3, Sessions: []uint64{1<<64 - 1, 5}}
+	report.Evidence.Note(true, "r/small", true, false)
+	report.Evidence.Note(false, "r/small", false, true)
+	sent := rolloutrpc.Report{Service: "models", Node: "n1", Report: report}
+	got, err := rolloutrpc.Send(context.Background(), http.DefaultClient, serve(t, mux), sent)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got.Sessions, qt.DeepEquals, []uint64{1 << 63, 7})
+	qt.Assert(t, c.service, qt.Equals, route.Service("models"))
+	qt.Assert(t, c.node, qt.Equals, api.NodeID("n1"))
+	qt.Assert(t, c.report, qt.DeepEquals, report)
+}
+
+// TestRefusedReport names the status of a node that takes none.
+func TestRefusedReport(t *testing.T) {
+	address := serve(t, http.NotFoundHandler())
+	_, err := rolloutrpc.Send(context.Background(), http.DefaultClient, address, rolloutrpc.Report{})
+	var refused *rolloutrpc.ErrRefused
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	qt.Assert(t, refused.Status, qt.Equals, http.StatusNotFound)
+}
+
+// TestBadReport is answered with 400 and given to nobody.
+func TestBadReport(t *testing.T) {
+	c := &collector{}
+	mux := http.NewServeMux()
+	rolloutrpc.Handle(mux, c)
+	resp, err := http.Post("http://"+serve(t, mux)+"/v1/rollouts/report", "application/json", http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.Body.Close(), qt.IsNil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusBadRequest)
+	qt.Assert(t, c.node, qt.Equals, api.NodeID(""))
+}
