--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -235,6 +235,27 @@
 	})
 }
 
+// TestSilentStreamIsKeptWhereNoneGoesOn lets all servers pause longer between events than the route's patience: the last server that may
+// run the stream is waited for, and the caller gets all of it.
+func TestSilentStreamIsKeptWhereNoneGoesOn(t *testing.T) {
+	inWorld(t, func(w *world) {
+		busy := platformfake.NewServer(platformfake.ServerOptions{
+			ID: "m0", Latency: 50 * time.Millisecond, Pause: 1500 * time.Millisecond, Events: 6, Confidence: 90,
+		})
+		listener, err := w.network.Host("10.1.0.9").Listen(context.Background(), "10.1.0.9:80")
+		w.c.Assert(err, qt.IsNil)
+		server := &http.Server{Handler: busy}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		w.store.Delete("servers/m1")
+		w.store.Put("servers/m0", entry("models", "10.1.0.9:80", "ready"))
+		time.Sleep(time.Second)
+		got := w.ask(context.Background(), 0, "/s/1", "key-1")
+		w.c.Assert(got.err, qt.IsNil)
+		w.c.Assert(got.body, qt.Equals, platformfake.Stream("/s/1", 6))
+	})
+}
+
 // TestCallRunsAtMostOnce loses the answer of a call that may not be repeated: the caller is told that it may have run.
 func TestCallRunsAtMostOnce(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -55,8 +55,12 @@
 	}
 }
 
-// silenceEnds is when a stream without events is taken for broken.
+// silenceEnds is when a stream without events is taken for broken: at the deadline where no other server may go on with it, as a server
+// that is busy goes on late.
 func (r *run) silenceEnds() time.Time {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.MaxAttempts {
+		return r.deadline
+	}
 	pause := r.route.MaxPause
 	if pause == 0 {
 		pause = defaultPause
