Call what the project already had: httpjson between nodes, one ErrNotSent, Top by Rank

The calls between nodes made their own JSON requests beside internal/httpjson; an answer without a body still counts as none, which a test now says. ErrNotSent stood three times, in upstream, engine and plain: it is tcp's. Top ranked as Rank does.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/registry"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -78,14 +79,14 @@
 }
 
 // Open begins or resumes a generation. Its errors are *ErrRefused (the engine answered without running it),
-// *ErrNotSent (no byte left this node) or *ErrBroken.
+// *tcp.ErrNotSent (no byte left this node) or *ErrBroken.
 func (c *Client) Open(ctx context.Context, opts StreamOptions) (*Stream, error) {
 	body := opts.Request
 	body.Model = opts.Version.String()
 	body.Stream = true
 	raw, err := json.Marshal(body)
 	if err != nil {
-		return nil, Error.Wrap(&ErrNotSent{Cause: err})
+		return nil, Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	sent, wrote := false, opts.Wrote
@@ -164,7 +165,7 @@
 
 func openError(err error, sent, timedOut bool) error {
 	if !sent {
-		return Error.Wrap(&ErrNotSent{Cause: err})
+		return Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	return Error.Wrap(&ErrBroken{Cause: err, Silent: timedOut || isTimeout(err)})
 }
@@ -188,7 +189,7 @@
 func (c *Client) Cancel(ctx context.Context, address, attempt string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/requests/"+attempt, nil)
 	if err != nil {
-		return Error.Wrap(&ErrNotSent{Cause: err})
+		return Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -210,7 +211,7 @@
 func load(ctx context.Context, client *http.Client, address string) (registry.Report, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
 	if err != nil {
-		return registry.Report{}, Error.Wrap(&ErrNotSent{Cause: err})
+		return registry.Report{}, Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -20,21 +20,6 @@
 	RefusedFull      RefusalCause = "Full"
 )
 
-// ErrNotSent means that no byte of the request left this node.
-type ErrNotSent struct{ Cause error }
-
-// Error implements error.
-func (e *ErrNotSent) Error() string { return fmt.Sprintf("not sent: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *ErrNotSent) Unwrap() error { return e.Cause }
-
-// IsErrNotSent reports whether err says that no byte of the request left this node.
-func IsErrNotSent(err error) bool {
-	var target *ErrNotSent
-	return errors.As(err, &target)
-}
-
 // ErrRefused means that the engine answered without running the request.
 type ErrRefused struct {
 	Status int
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 )
 
@@ -69,16 +70,16 @@
 // failed takes in an offer without an answer.
 func (r *run) failed(member *backend.Member, err error, offered time.Time) verdict {
 	member.Fail(time.Now())
-	if upstream.IsErrNotSent(err) {
+	if tcp.IsErrNotSent(err) {
 		r.countOffer(member, offerNotRun)
 	} else {
 		r.countOffer(member, offerLost)
 	}
 	r.g.opts.Log.WithFields(log.Fields{
 		"request": string(r.ID), "server": string(member.ID), "offer": r.sends, "took": time.Since(offered).Round(time.Millisecond).String(),
-		"sent": !upstream.IsErrNotSent(err),
+		"sent": !tcp.IsErrNotSent(err),
 	}).WithError(err).Info("offer failed")
-	if upstream.IsErrNotSent(err) {
+	if tcp.IsErrNotSent(err) {
 		return verdictNotRun
 	}
 	// A lost answer is no evidence against the server's version: servers crash and links break at all versions, many requests at once.
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -35,21 +36,6 @@
 	api.HeaderIdempotencyKey, api.HeaderSession, api.HeaderDeadline, api.HeaderPriority, api.HeaderClass, api.HeaderService,
 }
 
-// ErrNotSent means that no byte of the call left this node.
-type ErrNotSent struct{ Cause error }
-
-// Error implements error.
-func (e *ErrNotSent) Error() string { return "not sent: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ErrNotSent) Unwrap() error { return e.Cause }
-
-// IsErrNotSent reports whether err says that no byte of the call left this node.
-func IsErrNotSent(err error) bool {
-	var target *ErrNotSent
-	return errors.As(err, &target)
-}
-
 // ErrBroken means that the connection broke or went silent after the call was sent.
 type ErrBroken struct {
 	Cause error
@@ -131,7 +117,7 @@
 	Block(block []byte) error
 }
 
-// Call makes one call and hands the answer to sink. Its errors are *ErrNotSent, *ErrRefused,
+// Call makes one call and hands the answer to sink. Its errors are *tcp.ErrNotSent, *ErrRefused,
 // *ErrBroken, or what sink returned.
 func (c *Client) Call(ctx context.Context, opts CallOptions, sink Sink) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -145,7 +131,7 @@
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), opts)
 	if err != nil {
-		return Error.Wrap(&ErrNotSent{Cause: err})
+		return Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	timer := time.AfterFunc(opts.HeaderTimeout, cancel)
 	defer timer.Stop()
@@ -155,7 +141,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil && !sent {
-		return Error.Wrap(&ErrNotSent{Cause: err})
+		return Error.Wrap(&tcp.ErrNotSent{Cause: err})
 	}
 	if err != nil {
 		return Error.Wrap(&ErrBroken{Cause: err, Silent: ctx.Err() != nil})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,15 +3,16 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 )
 
@@ -114,33 +115,21 @@
 }
 
 func (c *Client) call(ctx context.Context, path string, asked pollRequest) (pollAnswer, error) {
-	fail := func(err error) (pollAnswer, error) {
-		return pollAnswer{}, kv.Error.Wrap(&kv.ErrUnavailable{Cause: Error.Wrap(err)})
-	}
-	ctx, cancel := context.WithTimeout(ctx, asked.Wait+callTimeout)
-	defer cancel()
-	body, err := json.Marshal(asked)
-	if err != nil {
-		return fail(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+path, bytes.NewReader(body))
-	if err != nil {
-		return fail(err)
-	}
-	resp, err := c.Client.Do(req)
-	if err != nil {
-		return fail(err)
+	var answer pollAnswer
+	got, err := httpjson.Do(ctx, c.Client, httpjson.Request{
+		Method: http.MethodPost, URL: "http://" + c.Address + path, Body: asked, Timeout: asked.Wait + callTimeout, Limit: maxAnswerBytes,
+	}, &answer)
+	if err == nil && len(got.Body) == 0 {
+		// An answer without a body would prove a copy that nobody read.
+		err = io.ErrUnexpectedEOF
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusGone {
+	var status *httpjson.ErrStatus
+	switch {
+	case err == nil:
+		return answer, nil
+	case errors.As(err, &status) && status.Status == http.StatusGone:
 		return pollAnswer{}, kv.Error.Wrap(&kv.ErrCompacted{})
+	default:
+		return pollAnswer{}, kv.Error.Wrap(&kv.ErrUnavailable{Cause: Error.Wrap(err)})
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fail(&kv.ErrRejected{Status: resp.StatusCode})
-	}
-	var answer pollAnswer
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer); err != nil {
-		return fail(err)
-	}
-	return answer, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -73,3 +73,14 @@
 	_, err = away.List(context.Background(), "")
 	qt.Assert(t, kv.IsErrUnavailable(err), qt.IsTrue)
 }
+
+// TestEmptyAnswerIsNone lets a node answer 200 without a body, as a handler that ends early does: it counts as no answer.
+func TestEmptyAnswerIsNone(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	c := &relay.Client{Address: server.Listener.Addr().String(), Client: http.DefaultClient}
+	_, err := c.Poll(context.Background(), "", 1, 0)
+	qt.Assert(t, kv.IsErrUnavailable(err), qt.IsTrue)
+	_, err = c.List(context.Background(), "")
+	qt.Assert(t, kv.IsErrUnavailable(err), qt.IsTrue)
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -11,22 +11,8 @@
 
 // Top returns the first n members for a key in a new slice, the first choice first.
 func Top[M ~string](key string, members []M, n int) []M {
-	type ranked struct {
-		member M
-		score  uint64
-	}
-	all := make([]ranked, len(members))
-	for i, m := range members {
-		all[i] = ranked{m, score(key, string(m))}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member, b.member))
-	})
-	top := make([]M, 0, min(n, len(all)))
-	for _, r := range all[:min(n, len(all))] {
-		top = append(top, r.member)
-	}
-	return top
+	ranked := Rank(key, members, func(m M) string { return string(m) })
+	return ranked[:min(n, len(ranked))]
 }
 
 // First returns the first member for a key without allocation, and false if there are no members.
@@ -61,7 +47,9 @@
 	for i, m := range members {
 		all[i] = ranked{m, score(key, name(m))}
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(name(a.member), name(b.member)))
+	})
 	out := make([]M, len(all))
 	for i, r := range all {
 		out[i] = r.member
--- a/internal/rolloutrpc/rolloutrpc.go
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -2,9 +2,9 @@
 package rolloutrpc
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -71,25 +72,16 @@
 
 // Send sends a report to the node at an address.
 func Send(ctx context.Context, client *http.Client, address string, report Report) (Collected, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	body, err := json.Marshal(report)
-	if err != nil {
-		return Collected{}, Error.Wrap(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathReport, bytes.NewReader(body))
-	if err != nil {
-		return Collected{}, Error.Wrap(err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return Collected{}, Error.Wrap(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return Collected{}, Error.Wrap(&ErrRefused{Status: resp.StatusCode})
-	}
 	var collected Collected
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(&collected)
+	got, err := httpjson.Do(ctx, client, httpjson.Request{
+		Method: http.MethodPost, URL: "http://" + address + pathReport, Body: report, Timeout: callTimeout, Limit: maxBytes,
+	}, &collected)
+	var status *httpjson.ErrStatus
+	switch {
+	case errors.As(err, &status):
+		err = &ErrRefused{Status: status.Status}
+	case err == nil && len(got.Body) == 0:
+		err = io.ErrUnexpectedEOF
+	}
 	return collected, Error.Wrap(err)
 }
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/session"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/suspect"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -132,7 +133,7 @@
 	if c.failed.isLast(now, c.giveUpAt(c.failed.unsentSince, to.guarded)) {
 		return c.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
-	if !engine.IsErrNotSent(err) && !c.router.takeRetry() {
+	if !tcp.IsErrNotSent(err) && !c.router.takeRetry() {
 		return c.problem(api.ReasonServerFailed, http.StatusBadGateway, "a server failed and no retry is left to spend")
 	}
 	if !sleep.For(ctx, c.failed.wait(to.guarded)) {
@@ -143,7 +144,7 @@
 
 // isUnsent reports whether no byte of an attempt reached a server; that a server which died can't be reached any more says
 // nothing of that.
-func isUnsent(err error) bool { return engine.IsErrNotSent(err) && !isServerDied(err) }
+func isUnsent(err error) bool { return tcp.IsErrNotSent(err) && !isServerDied(err) }
 
 // noteFailure keeps later requests away from a server as far as its failure tells.
 func noteFailure(server *registry.Server, err error, now time.Time) {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -17,6 +17,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/poison"
 	"github.com/monsoonrail/monsoonrail/internal/registry"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -234,7 +235,7 @@
 			p.router.opts.Guard.GiveUp(server.ID, p.suspect, time.Now())
 		case plain.IsErrBroken(err):
 			p.router.NoteDeath(ctx, server, err)
-		case p.guarded && plain.IsErrNotSent(err):
+		case p.guarded && tcp.IsErrNotSent(err):
 			p.router.noteUnreachable(ctx, server)
 		}
 		return err
@@ -305,14 +306,14 @@
 		server.MarkFailed(time.Now())
 	}
 	now := time.Now()
-	p.failed.add(plain.IsErrNotSent(err), now)
+	p.failed.add(tcp.IsErrNotSent(err), now)
 	if isLate(err) {
 		return nil
 	}
 	if p.failed.isLast(now, p.failed.unsentSince.Add(serverWait(p.guarded, p.handed))) {
 		return p.problem(api.ReasonServerFailed, http.StatusBadGateway, "every server that was tried failed")
 	}
-	if !plain.IsErrNotSent(err) && !p.router.takeRetry() {
+	if !tcp.IsErrNotSent(err) && !p.router.takeRetry() {
 		return p.problem(api.ReasonServerFailed, http.StatusBadGateway, "a server failed and no retry is left to spend")
 	}
 	p.answer.Restart()
--- a/internal/router/tries_test.go
+++ b/internal/router/tries_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/engine"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
 func TestTries(t *testing.T) {
@@ -49,7 +50,7 @@
 }
 
 func TestDeathOfAServerIsNoUnsentAttempt(t *testing.T) {
-	notSent := &engine.ErrNotSent{Cause: errors.New("connection refused")}
+	notSent := &tcp.ErrNotSent{Cause: errors.New("connection refused")}
 	qt.Check(t, isUnsent(engine.Error.Wrap(notSent)), qt.IsTrue)
 	qt.Check(t, isUnsent(engine.Error.Wrap(&errServerDied{cause: notSent})), qt.IsFalse)
 	qt.Check(t, isUnsent(&engine.ErrBroken{Cause: io.EOF}), qt.IsFalse)
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -10,21 +10,6 @@
 // Error is the class of every error of the package.
 var Error = errs.Class("upstream")
 
-// ErrNotSent means that no byte of a request reached a server.
-type ErrNotSent struct{ Cause error }
-
-// Error implements error.
-func (e *ErrNotSent) Error() string { return fmt.Sprintf("not sent: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *ErrNotSent) Unwrap() error { return e.Cause }
-
-// IsErrNotSent reports whether err says that no byte of a request reached a server.
-func IsErrNotSent(err error) bool {
-	var target *ErrNotSent
-	return errors.As(err, &target)
-}
-
 // ErrNoAnswer means that a request was sent, at least in part, and that no whole head of an answer to it came.
 type ErrNoAnswer struct{ Cause error }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
 const (
@@ -50,7 +52,7 @@
 }
 
 // Send sends a request over a kept or a new connection and waits for the head of the answer. The end of ctx closes the
-// connection, until Close. IsErrNotSent tells that no byte was sent, IsErrNoAnswer that the server may have run the request.
+// connection, until Close. tcp.IsErrNotSent tells that no byte was sent, IsErrNoAnswer that the server may have run the request.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Answer, error) {
 	head := req.encode()
 	for {
@@ -58,7 +60,7 @@
 		if c == nil {
 			var err error
 			if c, err = p.dial(ctx, address); err != nil {
-				return nil, Error.Wrap(&ErrNotSent{Cause: err})
+				return nil, Error.Wrap(&tcp.ErrNotSent{Cause: err})
 			}
 		}
 		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -72,7 +74,7 @@
 			return nil, Error.Wrap(&ErrNoAnswer{Cause: err})
 		}
 		if !c.reused || ctx.Err() != nil {
-			return nil, Error.Wrap(&ErrNotSent{Cause: err})
+			return nil, Error.Wrap(&tcp.ErrNotSent{Cause: err})
 		}
 		// The server had closed the kept connection; nothing of the request left this machine.
 	}
@@ -140,9 +142,6 @@
 // SetReadDeadline bounds the reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
-// Address returns the address of the server that answered.
-func (a *Answer) Address() string { return a.conn.address }
-
 // Close gives the connection back if the whole answer was read and the server keeps it, and ends it otherwise.
 func (a *Answer) Close() {
 	if a.conn == nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -141,11 +141,11 @@
 	address := listener.Addr().String()
 	qt.Assert(t, listener.Close(), qt.IsNil)
 	_, _, err = ask(pool, address, "1")
-	qt.Assert(t, upstream.IsErrNotSent(err), qt.IsTrue)
+	qt.Assert(t, tcp.IsErrNotSent(err), qt.IsTrue)
 
 	address, _ = scripted(t)
 	_, _, err = ask(pool, address, "1")
-	qt.Assert(t, upstream.IsErrNotSent(err), qt.IsFalse)
+	qt.Assert(t, tcp.IsErrNotSent(err), qt.IsFalse)
 	qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue)
 }
 
