--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -153,7 +153,7 @@
 func (m *Member) Fail(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failureShare += failureWeight * (1 - m.failureShare)
+	m.countFailure()
 	avoid := min(firstAvoidance<<min(m.failuresInRow, 8), maxAvoidance)
 	m.failuresInRow++
 	m.avoidUntil = now.Add(avoid)
@@ -164,9 +164,12 @@
 func (m *Member) NoteFailure() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failureShare += failureWeight * (1 - m.failureShare)
+	m.countFailure()
 }
 
+// countFailure moves the share of failures; m.mu is held.
+func (m *Member) countFailure() { m.failureShare += failureWeight * (1 - m.failureShare) }
+
 // Avoid keeps requests away from the server until a time.
 func (m *Member) Avoid(until time.Time) {
 	m.mu.Lock()
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -23,6 +23,3 @@
 
 // started is the moment from which the fallback counts.
 var started = time.Now()
-
-// Since returns the time that has passed since a moment.
-func Since(t Time) time.Duration { return time.Duration(Now() - t) }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -140,6 +140,20 @@
 	w.nodes = append(w.nodes, node)
 }
 
+// onlyModelServer puts one server in the place of the model servers, until end is called.
+func (w *world) onlyModelServer(opts platformfake.ServerOptions) (server *platformfake.Server, end func()) {
+	opts.ID = "m0"
+	server = platformfake.NewServer(opts)
+	listener, err := w.network.Host("10.1.0.9").Listen(context.Background(), "10.1.0.9:80")
+	w.c.Assert(err, qt.IsNil)
+	serving := &http.Server{Handler: server}
+	go func() { _ = serving.Serve(listener) }()
+	w.store.Delete("servers/m1")
+	w.store.Put("servers/m0", entry("models", "10.1.0.9:80", "ready"))
+	time.Sleep(time.Second)
+	return server, func() { _ = serving.Close() }
+}
+
 // answer is what a caller got; err tells that its connection ended first.
 type answer struct {
 	status int
@@ -239,17 +253,10 @@
 // run the stream is waited for, and the caller gets all of it.
 func TestSilentStreamIsKeptWhereNoneGoesOn(t *testing.T) {
 	inWorld(t, func(w *world) {
-		busy := platformfake.NewServer(platformfake.ServerOptions{
-			ID: "m0", Latency: 50 * time.Millisecond, Pause: 1500 * time.Millisecond, Events: 6, Confidence: 90,
+		_, end := w.onlyModelServer(platformfake.ServerOptions{
+			Latency: 50 * time.Millisecond, Pause: 1500 * time.Millisecond, Events: 6, Confidence: 90,
 		})
-		listener, err := w.network.Host("10.1.0.9").Listen(context.Background(), "10.1.0.9:80")
-		w.c.Assert(err, qt.IsNil)
-		server := &http.Server{Handler: busy}
-		go func() { _ = server.Serve(listener) }()
-		defer func() { _ = server.Close() }()
-		w.store.Delete("servers/m1")
-		w.store.Put("servers/m0", entry("models", "10.1.0.9:80", "ready"))
-		time.Sleep(time.Second)
+		defer end()
 		got := w.ask(context.Background(), 0, "/s/1", "key-1")
 		w.c.Assert(got.err, qt.IsNil)
 		w.c.Assert(got.body, qt.Equals, platformfake.Stream("/s/1", 6))
@@ -453,15 +460,8 @@
 // TestDoubtfulAnswerIsEscalated gives the small model's answers little confidence: the caller gets the large model's.
 func TestDoubtfulAnswerIsEscalated(t *testing.T) {
 	inWorld(t, func(w *world) {
-		doubtful := platformfake.NewServer(platformfake.ServerOptions{ID: "m0", Latency: time.Millisecond, Events: 3, Confidence: 10})
-		listener, err := w.network.Host("10.1.0.9").Listen(context.Background(), "10.1.0.9:80")
-		w.c.Assert(err, qt.IsNil)
-		server := &http.Server{Handler: doubtful}
-		go func() { _ = server.Serve(listener) }()
-		defer func() { _ = server.Close() }()
-		w.store.Delete("servers/m1")
-		w.store.Put("servers/m0", entry("models", "10.1.0.9:80", "ready"))
-		time.Sleep(time.Second)
+		doubtful, end := w.onlyModelServer(platformfake.ServerOptions{Latency: time.Millisecond, Events: 3, Confidence: 10})
+		defer end()
 		got := w.ask(context.Background(), 0, "/s/1", "key-1")
 		w.c.Assert(got.body, qt.Equals, platformfake.Stream("/s/1", 3))
 		var models []string
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -42,9 +42,12 @@
 	isFirstSlow := new(atomic.Bool)
 	r.isFirstSlow = isFirstSlow
 	r.isSlow = false
+	if r.route.Kind != route.KindStream {
+		return func() {}
+	}
 	r.slowPace = r.g.opts.Versions.SlowPace(r.service.Name, r.evidenceKind())
 	limit := r.g.opts.Versions.SlowPace(r.service.Name, r.firstKind())
-	if r.route.Kind != route.KindStream || r.isFilling || limit == 0 {
+	if r.isFilling || limit == 0 {
 		return func() {}
 	}
 	outcome := versionrollout.Outcome{Service: r.service.Name, Version: member.Version, Route: r.firstKind(), Pace: limit}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -38,10 +38,7 @@
 	candidates := make([]placement.Candidate, len(fitting))
 	parts := r.partKeys()
 	for i, m := range fitting {
-		candidates[i] = placement.Candidate{
-			View: m.View(now), Slots: m.Slots, IsSameDomain: m.FailureDomain == r.g.opts.FailureDomain,
-			IsTried: slices.Contains(r.tried, m.ID),
-		}
+		candidates[i] = r.candidate(m, now)
 		cached := m.CachedParts(parts, now)
 		if i == 0 {
 			// The first by rank is where every node sends requests that share these parts.
@@ -55,12 +52,21 @@
 	if r.service.Engine != nil {
 		asked.TokensPerSlot = tokensPerSlot
 	}
-	r.load = placement.Load(candidates)
+	if r.model != "" {
+		r.load = placement.Load(candidates)
+	}
 	chosen := fitting[placement.Choose(asked, candidates)]
 	chosen.UseParts(parts, now)
 	return chosen
 }
 
+// candidate is what placement knows of a server.
+func (r *run) candidate(m *backend.Member, now time.Time) placement.Candidate {
+	return placement.Candidate{
+		View: m.View(now), Slots: m.Slots, IsSameDomain: m.FailureDomain == r.g.opts.FailureDomain, IsTried: slices.Contains(r.tried, m.ID),
+	}
+}
+
 // expectedTokens is the caller's guess of the answer's size, or half of its bound.
 func (r *run) expectedTokens() int {
 	if r.TokensHint > 0 {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -19,11 +19,9 @@
 	reasonStaleKeys          = "keys may be old"
 	reasonStopping           = "node stops"
 	reasonNoServer           = "no server"
-	reasonBusy               = "servers full"
 	reasonBudget             = "retry budget used up"
 	reasonAttempts           = "attempts used up"
 	reasonDeadline           = "deadline passed"
-	reasonCrashes            = "request crashes servers"
 )
 
 const (
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,7 +45,7 @@
 	hasHead bool
 	// choice restricts the versions of the servers.
 	choice versionrollout.Choice
-	// load is the part of the service's slots that were taken when a server was chosen.
+	// load is the part of the service's slots that were taken when a server was chosen; 0 where the caller named the model.
 	load float64
 	// isFirstSlow tells that the first event of this offer was counted as slow before it came, isSlow that the whole answer was.
 	isFirstSlow *atomic.Bool
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -16,17 +15,21 @@
 		return members
 	}
 	ranked := rendezvous.Rank(string(r.choice.Target), members, func(m *backend.Member) string { return string(m.ID) })
-	avoided := make(map[*backend.Member]bool, len(ranked))
+	var sound, avoided []*backend.Member
 	for _, m := range ranked {
-		avoided[m] = m.View(now).IsAvoided
+		if m.View(now).IsAvoided {
+			avoided = append(avoided, m)
+		} else {
+			sound = append(sound, m)
+		}
 	}
-	slices.SortStableFunc(ranked, func(a, b *backend.Member) int { return cmp.Compare(boolRank(avoided[a]), boolRank(avoided[b])) })
+	ranked = append(sound, avoided...)
 	slots := make([]int, len(ranked))
 	for i, m := range ranked {
 		slots[i] = m.Slots
 	}
 	filled := placement.Filled(slots, r.choice.Fill, r.g.opts.Nodes(), string(r.g.opts.Node))
-	candidate := placement.Candidate{View: ranked[filled].View(now), Slots: ranked[filled].Slots}
+	candidate := r.candidate(ranked[filled], now)
 	isQuick := r.TokensIn <= maxReadShare*r.expectedTokens() || candidate.View.TokensAhead == 0 && candidate.View.Load.Waiting < maxFillWaiting
 	if isQuick && placement.HasFillRoom(candidate, r.choice.Fill, r.g.opts.Nodes()) {
 		r.isFilling = true
@@ -45,11 +48,3 @@
 	// maxFillWaiting is how many requests may wait for their prompts to be read before longer prompts are sent elsewhere.
 	maxFillWaiting = 4
 )
-
-// boolRank orders false before true.
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -72,6 +72,11 @@
 	hasListed bool
 }
 
+// isOver reports whether nothing more is to be decided.
+func (r *rollout) isOver() bool {
+	return r.status.State == StateCompleted || r.status.State == StateReverted
+}
+
 // NodeReport is what a node tells the others of a roll-out.
 type NodeReport struct {
 	// Order is the revision of the order.
@@ -267,7 +272,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.rollouts[o.Service]
-	if !ok || r.status.State == StateCompleted || r.status.State == StateReverted {
+	if !ok || r.isOver() {
 		return
 	}
 	isTarget := o.Version == r.order.Target
@@ -291,7 +296,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.rollouts[service]
-	if !ok || r.status.State == StateCompleted || r.status.State == StateReverted {
+	if !ok || r.isOver() {
 		return 0
 	}
 	return r.paces.slowPace(kind)
@@ -317,7 +322,7 @@
 	defer b.mu.Unlock()
 	var due []Work
 	for service, r := range b.rollouts {
-		if r.status.State == StateCompleted || r.status.State == StateReverted {
+		if r.isOver() {
 			continue
 		}
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
--- a/internal/versionrollout/plan.go
+++ b/internal/versionrollout/plan.go
@@ -23,7 +23,7 @@
 // growth lists shares of the requests from parts of the duration on. The first step fills one of the target's servers; even if the
 // target is found bad at its end, it got less than the usually allowed exposure of 15 in 100.
 var growth = []struct{ from, share float64 }{
-	{0.5, 0.8},
+	{sessionsUntil, 0.8},
 	{fillUntil, 1},
 }
 
@@ -38,8 +38,7 @@
 // Fill returns the part of one server's slots that is to be filled with requests now, 0 if servers are loaded as usual. A service at
 // its usual load shows nothing of a version that fails under load.
 func Fill(elapsed, duration time.Duration) float64 {
-	part := float64(elapsed) / float64(max(duration, 1))
-	if part < growth[0].from || part >= fillUntil {
+	if part := partOf(elapsed, duration); part < growth[0].from || part >= fillUntil {
 		return 0
 	}
 	return fillShare
@@ -63,7 +62,7 @@
 		exposure = defaultExposure
 	}
 	share := firstShare * exposure
-	part := float64(elapsed) / float64(max(duration, 1))
+	part := partOf(elapsed, duration)
 	for _, step := range growth {
 		if part >= step.from {
 			share = step.share
@@ -72,10 +71,15 @@
 	return share
 }
 
+// partOf is the part of a duration that has passed.
+func partOf(elapsed, duration time.Duration) float64 {
+	return float64(elapsed) / float64(max(duration, 1))
+}
+
 // MayComplete reports whether a roll-out without a bad verdict is to be completed; atOld counts the requests that run at servers of
 // other versions.
 func MayComplete(elapsed, duration time.Duration, atOld int) bool {
-	part := float64(elapsed) / float64(max(duration, 1))
+	part := partOf(elapsed, duration)
 	return part >= completeBy || part >= completeFrom && atOld == 0
 }
 
