Log and count the path by which a node reads the store

The log showed only when the store was lost, not which path a node used afterwards, why, or how large the configuration was, so that a slow transfer, a slow watcher and a store that went back looked alike. Each change of the path is now a line with the cause, and reads are counted by path and outcome.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,7 @@
 	selector := &pathSelector{
 		self: opts.Settings.Node, domain: opts.Settings.FailureDomain, store: n.store, client: n.peers,
 		nodes: func() []nodelist.Node { return *n.nodes.Load() },
+		log:   eventlog.OrDiscard(opts.Log), countRead: n.countStoreRead,
 	}
 	n.mirror = mirror.New(mirror.Options{
 		Upstream: selector.next, ExpiringPrefix: platform.PrefixServers, Changed: n.applyChanges,
@@ -259,6 +260,15 @@
 	return mux
 }
 
+// countStoreRead counts a read of the store's contents.
+func (n *Node) countStoreRead(isPeer bool, outcome readOutcome) {
+	path := "direct"
+	if isPeer {
+		path = "peer"
+	}
+	n.metrics.Counter("monsoonrail_edge_store_reads", metric.Label{Name: "path", Value: path}, metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
+}
+
 // metricsHandler serves the node's metrics under /metrics.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/edge/source.go
+++ b/internal/edge/source.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/mirror"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
@@ -32,6 +34,9 @@
 	store  mirror.Store
 	client *http.Client
 	nodes  func() []nodelist.Node
+	log    log.Interface
+	// countRead counts the reads by path and outcome.
+	countRead func(isPeer bool, outcome readOutcome)
 
 	// failures counts the failed calls since the preferred path was last used; it selects the path, so that paths are tried in turn.
 	failures int
@@ -39,19 +44,42 @@
 	isUntried bool
 	// retryPreferredAt is when the preferred path is tried again.
 	retryPreferredAt time.Time
+	// usedPath is the path of the last usable answer, lastFailure the last error since then.
+	usedPath    string
+	lastFailure error
 }
 
+// readOutcome is the outcome of a read over one path, used in metric labels.
+type readOutcome string
+
+const (
+	readUsable readOutcome = "usable"
+	readFailed readOutcome = "failed"
+	readTooOld readOutcome = "too-old"
+)
+
+// directPath is the name of the path that calls the store itself; the paths through peers have the peers' names.
+const directPath = "store"
+
+// errTooOld means that a peer relayed data that was older than maxRelayAge.
+type errTooOld struct{ age time.Duration }
+
+// Error implements error.
+func (e *errTooOld) Error() string { return "relayed data is " + e.age.String() + " old" }
+
 // next returns the path to use for the next call.
 func (s *pathSelector) next() mirror.Store {
 	if s.failures > 0 && time.Now().After(s.retryPreferredAt) {
 		s.failures = 0
 	}
 	paths := s.orderedPaths()
-	return &storePath{Store: paths[s.failures%len(paths)], selector: s}
+	path := paths[s.failures%len(paths)]
+	path.selector = s
+	return path
 }
 
 // orderedPaths returns the paths to the store in the order in which they are tried.
-func (s *pathSelector) orderedPaths() []mirror.Store {
+func (s *pathSelector) orderedPaths() []*storePath {
 	var own, others []nodelist.Node
 	for _, node := range s.nodes() {
 		switch {
@@ -64,7 +92,7 @@
 	}
 	ranked := rendezvous.Rank(string(s.domain), own, func(n nodelist.Node) string { return string(n.ID) })
 	watchers := ranked[:min(len(ranked), 1+len(ranked)/nodesPerWatcher)]
-	var paths []mirror.Store
+	var paths []*storePath
 	isWatcher := len(watchers) == 0
 	for _, node := range watchers {
 		if node.ID == s.self {
@@ -80,7 +108,7 @@
 			}
 		}
 	}
-	paths = append(paths, s.store)
+	paths = append(paths, &storePath{Store: s.store, name: directPath})
 	remote := rendezvous.Rank(string(s.self), others, func(n nodelist.Node) string { return string(n.ID) })
 	for _, node := range remote[:min(len(remote), maxRemotePeers)] {
 		paths = append(paths, s.viaPeer(node))
@@ -97,13 +125,15 @@
 }
 
 // viaPeer returns the path that reads the copy of the store on a peer.
-func (s *pathSelector) viaPeer(node nodelist.Node) mirror.Store {
-	return &relay.Client{Address: node.Peers, Client: s.client}
+func (s *pathSelector) viaPeer(node nodelist.Node) *storePath {
+	return &storePath{Store: &relay.Client{Address: node.Peers, Client: s.client}, name: string(node.ID)}
 }
 
 // storePath is one path to the store; it records in the selector whether its calls succeed.
 type storePath struct {
 	mirror.Store
+	// name is the name of the peer, or directPath.
+	name     string
 	selector *pathSelector
 }
 
@@ -127,13 +157,40 @@
 
 // recordResult selects the next path after an error or data that is too old. A compacted history means that the path itself works.
 func (p *storePath) recordResult(ctx context.Context, age time.Duration, err error) {
-	if ctx.Err() != nil || kv.IsErrCompacted(err) || err == nil && age < maxRelayAge {
-		p.selector.isUntried = false
+	s := p.selector
+	outcome := readUsable
+	switch {
+	case ctx.Err() != nil:
+		return
+	case kv.IsErrCompacted(err):
+	case err != nil:
+		outcome = readFailed
+	case age >= maxRelayAge:
+		outcome, err = readTooOld, Error.Wrap(&errTooOld{age: age})
+	}
+	s.countRead(p.name != directPath, outcome)
+	if outcome == readUsable {
+		p.recordUse()
 		return
 	}
-	p.selector.isUntried = true
-	if p.selector.failures == 0 {
-		p.selector.retryPreferredAt = time.Now().Add(fallbackPeriod)
+	s.lastFailure = err
+	s.isUntried = true
+	if s.failures == 0 {
+		s.retryPreferredAt = time.Now().Add(fallbackPeriod)
+	}
+	s.failures++
+}
+
+// recordUse records a usable answer of the path, and logs a change of the path.
+func (p *storePath) recordUse() {
+	s := p.selector
+	s.isUntried = false
+	if p.name != s.usedPath {
+		fields := log.Fields{"path": p.name, "previous": s.usedPath, "failures": s.failures}
+		if s.lastFailure != nil {
+			fields["cause"] = s.lastFailure.Error()
+		}
+		s.log.WithFields(fields).Info("store path changed")
 	}
-	p.selector.failures++
+	s.usedPath, s.lastFailure = p.name, nil
 }
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -97,6 +97,7 @@
 	}
 	c.opts.Log.WithFields(log.Fields{
 		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
+		"bytes": len(pair.Value),
 	}).Info("configuration in force")
 	return true
 }
