--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -463,6 +463,68 @@
 	})
 }
 
+// largeConfiguration returns a configuration with additional routes, which make it about 250 bytes larger each.
+func largeConfiguration(routes int, key string) []byte {
+	var cfg map[string]any
+	if err := json.Unmarshal(configuration(key), &cfg); err != nil {
+		panic(err)
+	}
+	all := cfg["routes"].([]any)
+	for i := range routes {
+		all = append(all, map[string]any{
+			"name": fmt.Sprintf("added-%d", i), "host": fmt.Sprintf("host-%d.example", i%97), "prefix": fmt.Sprintf("/added%d/%x/", i, i*7919),
+			"routeType": "safe", "service": "calls", "timeoutMs": 2000 + i, "targetLatencyMs": 100, "priority": 2, "maxAttempts": 2, "public": true,
+			"sessionAffinity": false, "resumable": false,
+		})
+	}
+	cfg["routes"] = all
+	text, err := json.Marshal(cfg)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// TestLargeConfigurationOverSlowLinks changes large configurations on nodes with links of 10 Mbit/s: each must be in force on all nodes in
+// time, although its transfer takes longer than a short call between nodes.
+func TestLargeConfigurationOverSlowLinks(t *testing.T) {
+	const linkBytesPerSecond = 10e6 / 8
+	for _, test := range []struct {
+		name    string
+		routes  int
+		changes int
+		apply   time.Duration
+	}{
+		{"largest value", 3900, 1, 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withTestFleet(t, func(f *testFleet) {
+				for i := range 6 {
+					ip := fmt.Sprintf("10.0.1.%d", i+1)
+					f.network.LimitBandwidth(ip, linkBytesPerSecond)
+					f.start(ip)
+				}
+				for _, node := range f.nodes[:2] {
+					f.network.LimitBandwidth(node.ip, linkBytesPerSecond)
+				}
+				time.Sleep(10 * time.Second)
+				key := ""
+				for i := range test.changes {
+					key = fmt.Sprintf("large-%d", i)
+					value := largeConfiguration(test.routes, key)
+					f.c.Assert(len(value) < 1<<20, qt.IsTrue, qt.Commentf("%d bytes", len(value)))
+					f.store.Put("op/config", value)
+					time.Sleep(300 * time.Millisecond)
+				}
+				time.Sleep(test.apply - 300*time.Millisecond)
+				for node := range f.nodes {
+					f.c.Check(f.send(context.Background(), node, "/r/1", key).status, qt.Equals, http.StatusOK, qt.Commentf("node %d", node))
+				}
+			})
+		})
+	}
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/fake/memnet/faults.go
+++ b/internal/fake/memnet/faults.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// LimitBandwidth bounds the bytes per second that a host sends, and those that it receives, over all connections opened from now on.
+func (n *Network) LimitBandwidth(ip string, bytesPerSecond float64) {
+	host := n.Host(ip)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host.uplink = &sharedLink{bytesPerSecond: bytesPerSecond}
+	host.downlink = &sharedLink{bytesPerSecond: bytesPerSecond}
+}
+
 // Kill closes the host's listeners and resets its connections, as a crash of its process would. Peers of silent connections don't
 // notice. The host may listen again at once.
 func (n *Network) Kill(ip string) {
--- a/internal/fake/memnet/lane.go
+++ b/internal/fake/memnet/lane.go
@@ -20,15 +20,44 @@
 	end     bool
 }
 
+// limitedWindow replaces halfConnCapacity on limited links, and limitedSegment bounds their segments, so that connections that share a
+// link progress together.
+const (
+	limitedWindow  = 32 << 10
+	limitedSegment = 4 << 10
+)
+
+// sharedLink is one direction of a host's limited link, which all its connections share. It is safe for concurrent use.
+type sharedLink struct {
+	bytesPerSecond float64
+
+	mu sync.Mutex
+	// busyUntil is when the bytes written so far have passed the link.
+	busyUntil time.Time
+}
+
+// reserve returns when n bytes, written now, have passed the link.
+func (l *sharedLink) reserve(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	return l.busyUntil
+}
+
 // halfConn is one direction of a connection.
 type halfConn struct {
 	mu sync.Mutex
 	// changed is closed and replaced at each change, which wakes the waiting reader and writer.
 	changed  chan struct{}
 	segments []segment
-	// used counts the unread bytes, including dropped ones; at most halfConnCapacity.
+	// used counts the unread bytes, including dropped ones; at most capacity.
 	used  int
 	delay time.Duration
+	// links are the limited links that the bytes pass.
+	links []*sharedLink
 	// silent drops all further bytes.
 	silent bool
 	// paused withholds bytes, the end of the stream and errors from the reader.
@@ -41,8 +70,22 @@
 	writeDeadline time.Time
 }
 
-func newHalfConn(delay time.Duration) *halfConn {
-	return &halfConn{changed: make(chan struct{}), delay: delay}
+func newHalfConn(delay time.Duration, limited ...*sharedLink) *halfConn {
+	hc := &halfConn{changed: make(chan struct{}), delay: delay}
+	for _, l := range limited {
+		if l != nil {
+			hc.links = append(hc.links, l)
+		}
+	}
+	return hc
+}
+
+// capacity returns the number of bytes that may be written and not read yet.
+func (hc *halfConn) capacity() int {
+	if len(hc.links) > 0 {
+		return limitedWindow
+	}
+	return halfConnCapacity
 }
 
 func (hc *halfConn) read(p []byte) (int, error) {
@@ -117,10 +160,13 @@
 		return 0, now, nil, hc.err
 	case hc.readerClosed && !hc.silent:
 		return 0, now, nil, syscall.EPIPE
-	case hc.used >= halfConnCapacity:
+	case hc.used >= hc.capacity():
 		return 0, hc.writeDeadline, hc.changed, nil
 	}
-	n = min(len(p), halfConnCapacity-hc.used)
+	n = min(len(p), hc.capacity()-hc.used)
+	if len(hc.links) > 0 {
+		n = min(n, limitedSegment)
+	}
 	hc.used += n
 	if !hc.silent {
 		hc.push(segment{data: append([]byte(nil), p[:n]...)})
@@ -130,7 +176,13 @@
 
 // push appends a segment that arrives after the delay and after all before it.
 func (hc *halfConn) push(s segment) {
-	s.arrives = time.Now().Add(hc.delay)
+	sent := time.Now()
+	for _, l := range hc.links {
+		if passed := l.reserve(len(s.data)); passed.After(sent) {
+			sent = passed
+		}
+	}
+	s.arrives = sent.Add(hc.delay)
 	if last := len(hc.segments) - 1; last >= 0 && hc.segments[last].arrives.After(s.arrives) {
 		s.arrives = hc.segments[last].arrives
 	}
--- a/internal/fake/memnet/network.go
+++ b/internal/fake/memnet/network.go
@@ -65,6 +65,8 @@
 	// listeners is keyed by port and guarded by network.mu.
 	listeners map[int]*listener
 	lastPort  int
+	// uplink and downlink are nil if the host's link is not limited; guarded by network.mu.
+	uplink, downlink *sharedLink
 }
 
 // Host returns the host with an IP address and adds it if it is new; it panics if ip is not an IP address.
@@ -156,8 +158,8 @@
 	if peer == nil || peer.listeners[port] == nil {
 		return nil, opError("dial", ip, port, syscall.ECONNREFUSED)
 	}
-	toServer := newHalfConn(h.network.links[link{h.ip, ip}].delay)
-	toClient := newHalfConn(h.network.links[link{ip, h.ip}].delay)
+	toServer := newHalfConn(h.network.links[link{h.ip, ip}].delay, h.uplink, peer.downlink)
+	toClient := newHalfConn(h.network.links[link{ip, h.ip}].delay, peer.uplink, h.downlink)
 	toServer.paused = h.network.paused[h.ip] || h.network.paused[ip]
 	toClient.paused = toServer.paused
 	local, remote := tcpAddr(h.ip, h.nextPort()), tcpAddr(ip, port)
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/monsoonrail/monsoonrail/internal/transfer"
 )
 
 // Error is the class of every error of the package.
@@ -47,8 +49,11 @@
 	Header http.Header
 	// Body is encoded as JSON; nil sends no body.
 	Body any
-	// Timeout bounds the whole call, including reading the response body.
+	// Timeout bounds the whole call, including reading the response body. If MaxStall is set, it bounds the time to the body's first
+	// byte only.
 	Timeout time.Duration
+	// MaxStall, if not 0, is the longest pause within the response body, and MaxDuration then bounds the whole call.
+	MaxStall, MaxDuration time.Duration
 	// MaxResponseBytes bounds the size of the response body after decompression.
 	MaxResponseBytes int64
 	// AcceptGzip allows a gzip-compressed response.
@@ -66,9 +71,13 @@
 
 // Do makes a call and decodes the response body into out, unless out is nil or the body is empty.
 func Do(ctx context.Context, client *http.Client, call Request, out any) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	defer cancel()
-	answer, err := send(ctx, client, call)
+	bounds := transfer.Bounds{Head: call.Timeout, Stall: call.Timeout, Total: call.Timeout}
+	if call.MaxStall > 0 {
+		bounds.Stall, bounds.Total = call.MaxStall, call.MaxDuration
+	}
+	ctx, transferring := transfer.Begin(ctx, bounds)
+	defer transferring.End()
+	answer, err := send(ctx, client, call, transferring)
 	if err != nil {
 		return Response{}, Error.Wrap(err)
 	}
@@ -78,7 +87,7 @@
 	return answer, Error.Wrap(json.Unmarshal(answer.Body, out))
 }
 
-func send(ctx context.Context, client *http.Client, call Request) (Response, error) {
+func send(ctx context.Context, client *http.Client, call Request, transferring *transfer.Call) (Response, error) {
 	body, err := encode(call.Body)
 	if err != nil {
 		return Response{}, err
@@ -101,7 +110,7 @@
 	if !isSuccess(resp.StatusCode) {
 		return Response{}, &ErrStatus{Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
 	}
-	wire := &countingReader{next: resp.Body}
+	wire := &countingReader{next: transferring.Body(resp.Body)}
 	data, err := readBody(wire, resp.Header.Get("Content-Encoding"), call.MaxResponseBytes)
 	if err != nil {
 		return Response{}, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	// callTimeout bounds a call, in addition to its wait for changes; the latency between nodes is milliseconds.
+	// callTimeout bounds the time to the first byte of an answer, in addition to the call's wait for changes, and each pause within the
+	// answer; the latency between nodes is milliseconds.
 	callTimeout = 400 * time.Millisecond
+	// maxTransfer bounds the transfer of an answer.
+	maxTransfer = 5 * time.Second
 	// maxAnswerBytes bounds an answer, which can be a complete copy of the store.
 	maxAnswerBytes = 16 << 20
 )
@@ -117,7 +120,8 @@
 func (c *Client) call(ctx context.Context, path string, request pollRequest) (pollAnswer, error) {
 	var answer pollAnswer
 	got, err := httpjson.Do(ctx, c.Client, httpjson.Request{
-		Method: http.MethodPost, URL: "http://" + c.Address + path, Body: request, Timeout: request.Wait + callTimeout, MaxResponseBytes: maxAnswerBytes,
+		Method: http.MethodPost, URL: "http://" + c.Address + path, Body: request, MaxResponseBytes: maxAnswerBytes,
+		Timeout: request.Wait + callTimeout, MaxStall: callTimeout, MaxDuration: request.Wait + maxTransfer,
 	}, &answer)
 	if err == nil && len(got.Body) == 0 {
 		// Without a body there is no copy; an empty answer must not count as a confirmation.
