Deflate large values between nodes (CONFIG)

Cause: one node reads the store for 32 of a failure domain and sent each of them a configuration of 350 KB as base64 text in JSON. On a link of 10 Mbit/s that takes 0.4 s a node, and followers that gave up read it from the store instead, at the same moment.

Change: a value of over 4 KB is deflated, once for all followers that ask for it. A node of an earlier build doesn't ask and gets it as before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -495,6 +495,7 @@
 		changes int
 		apply   time.Duration
 	}{
+		{"three changes in a second", 1400, 3, 2 * time.Second},
 		{"largest value", 3900, 1, 3 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,34 +44,68 @@
 type pollRequest struct {
 	After kv.Version
 	Wait  time.Duration
+	// AcceptDeflate allows deflated values in the answer.
+	AcceptDeflate bool `json:",omitempty"`
+}
+
+// event is a kv.Event with its value, or with the deflated value instead.
+type event struct {
+	kv.Event
+	Deflated []byte `json:",omitempty"`
 }
 
 // pollAnswer is the answer to both calls; the answer to a list has no deletions.
 type pollAnswer struct {
-	Events   []kv.Event
+	Events   []event
 	Revision kv.Version
 	Age      time.Duration
 	Silence  time.Duration
 }
 
+// inflated returns the events with their values.
+func (a *pollAnswer) inflated() ([]kv.Event, error) {
+	var events []kv.Event
+	for _, e := range a.Events {
+		if e.Deflated != nil {
+			value, err := inflate(e.Deflated)
+			if err != nil {
+				return nil, err
+			}
+			e.Pair.Value = value
+		}
+		events = append(events, e.Event)
+	}
+	return events, nil
+}
+
 // Handle registers the calls that serve a mirror to other nodes.
 func Handle(mux *http.ServeMux, mirror Mirror) {
-	mux.HandleFunc("POST "+pathList, func(w http.ResponseWriter, _ *http.Request) {
+	values := newDeflater()
+	handle := func(path string, read func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error)) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
+			var request pollRequest
+			if err := json.NewDecoder(req.Body).Decode(&request); err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			events, answer, err := read(req.Context(), request)
+			for _, e := range events {
+				answer.Events = append(answer.Events, values.encode(e, request.AcceptDeflate))
+			}
+			respond(w, answer, err)
+		})
+	}
+	handle(pathList, func(context.Context, pollRequest) ([]kv.Event, pollAnswer, error) {
 		listed, err := mirror.Listing()
-		answer := pollAnswer{Revision: listed.Revision, Age: listed.Age, Silence: listed.Silence}
-		for _, pair := range listed.Pairs {
-			answer.Events = append(answer.Events, kv.Event{Pair: pair})
+		events := make([]kv.Event, len(listed.Pairs))
+		for i, pair := range listed.Pairs {
+			events[i].Pair = pair
 		}
-		respond(w, answer, err)
+		return events, pollAnswer{Revision: listed.Revision, Age: listed.Age, Silence: listed.Silence}, err
 	})
-	mux.HandleFunc("POST "+pathPoll, func(w http.ResponseWriter, req *http.Request) {
-		var request pollRequest
-		if err := json.NewDecoder(req.Body).Decode(&request); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		batch, err := mirror.Changes(req.Context(), request.After, request.Wait)
-		respond(w, pollAnswer{Events: batch.Events, Revision: batch.Revision, Age: batch.Age, Silence: batch.Silence}, err)
+	handle(pathPoll, func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error) {
+		batch, err := mirror.Changes(ctx, request.After, request.Wait)
+		return batch.Events, pollAnswer{Revision: batch.Revision, Age: batch.Age, Silence: batch.Silence}, err
 	})
 }
 
@@ -97,27 +131,28 @@
 
 // List returns the node's copy. The prefix is ignored; that of the node's mirror applies.
 func (c *Client) List(ctx context.Context, _ string) (kv.ListResult, error) {
-	answer, err := c.call(ctx, pathList, pollRequest{})
+	events, answer, err := c.call(ctx, pathList, pollRequest{})
 	if err != nil {
 		return kv.ListResult{}, err
 	}
 	listed := kv.ListResult{Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence}
-	for _, event := range answer.Events {
-		listed.Pairs = append(listed.Pairs, event.Pair)
+	for _, e := range events {
+		listed.Pairs = append(listed.Pairs, e.Pair)
 	}
 	return listed, nil
 }
 
 // Poll waits for changes of the node's copy, at most for wait. The prefix is ignored.
 func (c *Client) Poll(ctx context.Context, _ string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
-	answer, err := c.call(ctx, pathPoll, pollRequest{After: after, Wait: wait})
+	events, answer, err := c.call(ctx, pathPoll, pollRequest{After: after, Wait: wait})
 	if err != nil {
 		return kv.WatchBatch{}, err
 	}
-	return kv.WatchBatch{Events: answer.Events, Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence}, nil
+	return kv.WatchBatch{Events: events, Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence}, nil
 }
 
-func (c *Client) call(ctx context.Context, path string, request pollRequest) (pollAnswer, error) {
+func (c *Client) call(ctx context.Context, path string, request pollRequest) ([]kv.Event, pollAnswer, error) {
+	request.AcceptDeflate = true
 	var answer pollAnswer
 	got, err := httpjson.Do(ctx, c.Client, httpjson.Request{
 		Method: http.MethodPost, URL: "http://" + c.Address + path, Body: request, MaxResponseBytes: maxAnswerBytes,
@@ -127,13 +162,17 @@
 		// Without a body there is no copy; an empty answer must not count as a confirmation.
 		err = io.ErrUnexpectedEOF
 	}
+	var events []kv.Event
+	if err == nil {
+		events, err = answer.inflated()
+	}
 	var status *httpjson.ErrStatus
 	switch {
 	case err == nil:
-		return answer, nil
+		return events, answer, nil
 	case errors.As(err, &status) && status.Status == http.StatusGone:
-		return pollAnswer{}, kv.Error.Wrap(&kv.ErrCompacted{})
+		return nil, pollAnswer{}, kv.Error.Wrap(&kv.ErrCompacted{})
 	default:
-		return pollAnswer{}, kv.Error.Wrap(&kv.ErrUnavailable{Cause: Error.Wrap(err)})
+		return nil, pollAnswer{}, kv.Error.Wrap(&kv.ErrUnavailable{Cause: Error.Wrap(err)})
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,9 +1,15 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +64,58 @@
 	qt.Assert(t, m.wait, qt.Equals, 1200*time.Millisecond)
 }
 
+// countingTransport counts the bytes of the answers.
+type countingTransport struct{ bytes atomic.Int64 }
+
+func (c *countingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	c.bytes.Add(int64(len(body)))
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp, err
+}
+
+// TestLargeValueIsDeflated relays a configuration with many routes: 31 followers must get it within a second over one link of 10 Mbit/s. A
+// node that doesn't ask for deflated values gets it as it is.
+func TestLargeValueIsDeflated(t *testing.T) {
+	const maxBytes = 10_000_000 / 8 / 31
+	var value []byte
+	for i := range 1400 {
+		value = fmt.Appendf(value, `{"name":"route-%d","host":"h%d.example","prefix":"/p%x/","routeType":"safe","service":"calls","timeoutMs":2000,
+			"targetLatencyMs":300,"priority":2,"maxAttempts":2,"public":false,"resumable":false},`, i, i%97, i*7919)
+	}
+	pair := kv.Pair{Key: "op/config", Value: value, Version: 9}
+	m := &mirror{
+		listed: kv.ListResult{Pairs: []kv.Pair{pair}, Revision: 9},
+		batch:  kv.WatchBatch{Events: []kv.Event{{Pair: pair}}, Revision: 9},
+	}
+	c := client(t, m)
+	counting := &countingTransport{}
+	c.Client = &http.Client{Transport: counting}
+	batch, err := c.Poll(context.Background(), "", 1, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, batch, qt.DeepEquals, m.batch)
+	qt.Assert(t, counting.bytes.Load() < maxBytes, qt.IsTrue, qt.Commentf("%d bytes", counting.bytes.Load()))
+	listed, err := c.List(context.Background(), "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, listed, qt.DeepEquals, m.listed)
+	// The next version must not be answered with the deflated value of the one before.
+	m.batch.Events[0].Pair.Version, m.batch.Events[0].Pair.Value = 10, append([]byte("newer"), value...)
+	batch, err = c.Poll(context.Background(), "", 9, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, batch, qt.DeepEquals, m.batch)
+
+	resp, err := http.Post("http://"+c.Address+"/v1/store/poll", "application/json", strings.NewReader(`{"After":9,"Wait":0}`))
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	var plain struct{ Events []kv.Event }
+	qt.Assert(t, json.NewDecoder(resp.Body).Decode(&plain), qt.IsNil)
+	qt.Assert(t, plain.Events, qt.DeepEquals, m.batch.Events)
+}
+
 // TestErrorsKeepTheirKind relays the errors for a compacted history and an unavailable copy, and checks that an unreachable node counts as
 // unavailable.
 func TestErrorsKeepTheirKind(t *testing.T) {
