--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -526,6 +526,27 @@
 	}
 }
 
+// TestReconnectAfterManyLargeConfigurations cuts all nodes from the store while it gets more large configurations than one answer to a watch
+// may hold: the newest one must be in force soon after the store is back.
+func TestReconnectAfterManyLargeConfigurations(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		for _, node := range f.nodes {
+			f.network.Blackhole(node.ip, storeIP)
+		}
+		for i := range 12 {
+			f.store.Put("op/config", largeConfiguration(1400, fmt.Sprintf("large-%d", i)))
+			time.Sleep(300 * time.Millisecond)
+		}
+		for _, node := range f.nodes {
+			f.network.Heal(node.ip, storeIP)
+		}
+		time.Sleep(3 * time.Second)
+		for node := range f.nodes {
+			f.c.Check(f.send(context.Background(), node, "/r/1", "large-11").status, qt.Equals, http.StatusOK, qt.Commentf("node %d", node))
+		}
+	})
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
