Serve only the newest change of each key to other nodes (CONFIG)

What callers saw: a follower of a failure domain's watcher that fell behind while the configuration changed often got further behind.

Cause: a mirror kept 2,048 changes with their values and sent a follower all that it had missed: several configurations of which only the last one counts, on the links that were too slow for one. The history also kept up to as many configurations in memory.

Change: a newer change of a key replaces the older one in the history.

Evidence: TestSupersededChangesAreNotServed fails before: 32 changes for the two keys that differ.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 	missing map[string]time.Time
 	// revision is the store's revision up to which the copy is complete; 0 means that all keys must be listed.
 	revision kv.Version
-	// history holds all changes after historyFrom, sorted by revision.
+	// history holds the newest change after historyFrom of each key that changed since, sorted by revision.
 	history     []kv.Event
 	historyFrom kv.Version
 	// confirmedAt is the newest time as of which the copy is known to be complete; 0 before the first List.
@@ -222,9 +223,18 @@
 	m.notifyChanged(changed)
 }
 
-// record retains changes for the nodes that use this one as their upstream; m.mu is held.
+// record retains changes for the nodes that use this one as their upstream; m.mu is held. A change that a newer one of the same key has
+// superseded is dropped: values can be large, and a node that is behind would be sent all of them.
 func (m *Mirror) record(events []kv.Event) {
-	m.history = append(m.history, events...)
+	if len(events) == 0 {
+		return
+	}
+	newest := make(map[string]kv.Version, len(events))
+	for _, event := range events {
+		newest[event.Pair.Key] = max(newest[event.Pair.Key], event.Pair.Version)
+	}
+	isSuperseded := func(event kv.Event) bool { return event.Pair.Version < newest[event.Pair.Key] }
+	m.history = slices.DeleteFunc(append(m.history, events...), isSuperseded)
 	if over := len(m.history) - maxHistory; over > 0 {
 		m.historyFrom = m.history[over-1].Pair.Version
 		m.history = append([]kv.Event(nil), m.history[over:]...)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -219,6 +219,27 @@
 	})
 }
 
+// TestSupersededChangesAreNotServed changes one key many times: a node that is behind gets its newest value only, with the other changes.
+func TestSupersededChangesAreNotServed(t *testing.T) {
+	inBubble(t, func(s *fakeStore, m *mirror.Mirror, _ func() time.Duration) {
+		time.Sleep(time.Second)
+		listed, err := m.Listing()
+		qt.Assert(t, err, qt.IsNil)
+		s.put("b")
+		for range 30 {
+			s.put("a")
+			time.Sleep(300 * time.Millisecond)
+		}
+		s.remove("b")
+		time.Sleep(2 * time.Second)
+		batch, err := m.Changes(context.Background(), listed.Revision, time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, batch.Events, qt.HasLen, 2)
+		qt.Assert(t, batch.Events[0].Pair, qt.DeepEquals, s.pairs["a"])
+		qt.Assert(t, batch.Events[1].Deleted, qt.IsTrue)
+	})
+}
+
 // follower serves a mirror as a Store, like a node that is an upstream.
 type follower struct{ *mirror.Mirror }
 
