Order the store's revisions across restores from an older copy (CONFIG)

What callers would see: after a drill in which the store comes back from a copy some seconds old, changes of the configuration were not in force: revisions are given out again, and a node ignores each that it has seen, for as many changes as were lost. With a conditional write, a revision of before could also match another write of after.

Cause: revisions were taken to rise for good.

Change: the era that the store announces (Store-Era) is the upper part of a kv.Version, so that versions of a later era are higher everywhere, between nodes too. A watch or condition from another era isn't sent on as if it were of this one. A configuration with a lower number than the one in force is ignored; the copy counts as confirmed again two seconds after a restore, when operators and servers have written again; a server that was seen leaving goes on leaving; an order of a roll-out that is written again begins no second one, and a lost status is written again.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -102,6 +102,20 @@
 	qt.Assert(t, set.Len(), qt.Equals, 1)
 }
 
+// TestLeavingServerStaysOutOfService replaces the entry of a leaving server by one from before, as a restore of the store from an older copy
+// does. Only a new start brings the server back.
+func TestLeavingServerStaysOutOfService(t *testing.T) {
+	set := backend.NewSet()
+	leaving := server("a", "1", 1)
+	leaving.IsLeaving = true
+	set.Replace([]backend.Server{leaving})
+	set.Replace([]backend.Server{server("a", "1", 1)})
+	set.Replace([]backend.Server{server("a", "1", 1)})
+	qt.Assert(t, set.ForService("models"), qt.HasLen, 0)
+	set.Replace([]backend.Server{server("a", "1", 2)})
+	qt.Assert(t, set.ForService("models"), qt.HasLen, 1)
+}
+
 // TestSlownessOfSlowServer checks that a server that takes three times as long for answers of the same kind gets a higher slowness.
 func TestSlownessOfSlowServer(t *testing.T) {
 	set := backend.NewSet()
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -42,6 +42,10 @@
 		case !ok || tracked.Start != server.Start || tracked.Address != server.Address:
 			tracked = newTrackedServer(server)
 		case tracked.Server != server:
+			if tracked.IsLeaving {
+				// A store that was restored from an older copy has the entry from before; the server goes on leaving.
+				tracked.MarkLeaving()
+			}
 			tracked = &TrackedServer{Server: server, serverState: tracked.serverState}
 		}
 		next[server.ID] = tracked
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,9 +53,12 @@
 }
 
 // configuration returns an operators' configuration with one team that has the given keys.
-func configuration(keys ...string) []byte {
+func configuration(keys ...string) []byte { return configurationVersion(1, keys...) }
+
+// configurationVersion returns a version of the configuration.
+func configurationVersion(version int, keys ...string) []byte {
 	text, _ := json.Marshal(keys)
-	return fmt.Appendf(nil, `{"version":1,"routes":[
+	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"stream","host":"app.example","prefix":"/s/","routeType":"streaming","timeoutMs":20000,"targetLatencyMs":1000,
 		 "itlTargetMs":500,"sizes":["small","large"],"service":"models","maxAttempts":3,"resumable":true,"sessionAffinity":true},
 		{"name":"call","host":"app.example","prefix":"/c/","routeType":"unsafe","targetLatencyMs":100,"service":"calls","maxAttempts":1},
@@ -64,7 +67,7 @@
 		"services":[{"name":"models","healthPath":"/health","engine":{"slots":8,"kvCapacityTokens":1000,
 		 "models":[{"name":"small","cost":0.1},{"name":"large","cost":1}]}},{"name":"calls","healthPath":"/health"}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-		"tenants":[{"name":"school","apiKeys":%s}]}`, text)
+		"tenants":[{"name":"school","apiKeys":%s}]}`, version, text)
 }
 
 // entry returns the value of a backend server's key in the store.
@@ -547,6 +550,50 @@
 	})
 }
 
+// TestRestoredStoreDoesNotRevertConfiguration restores the store from a copy that is older than the configuration in force: nodes keep theirs,
+// and later changes, which get revisions that the nodes have seen before, take effect in time.
+func TestRestoredStoreDoesNotRevertConfiguration(t *testing.T) {
+	const apply = 2 * time.Second
+	withTestFleet(t, func(f *testFleet) {
+		status := func(node int, key string) int { return f.send(context.Background(), node, "/r/1", key).status }
+		restore := f.store.Snapshot()
+		for i := range 5 {
+			f.store.Put("op/config", configurationVersion(2+i, "key-1", fmt.Sprintf("key-%d", 2+i)))
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.store.Put("op/config", configurationVersion(9, "key-9"))
+		time.Sleep(apply)
+		f.store.SetDown(true)
+		restore()
+		time.Sleep(time.Second)
+		f.store.SetDown(false)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for node := range f.nodes {
+				// Keys may be refused temporarily until a revocation that was lost would have been written again.
+				f.c.Check(status(node, "key-9"), qt.Not(qt.Equals), http.StatusUnauthorized, qt.Commentf("node %d", node))
+				f.c.Check(status(node, "key-1"), qt.Not(qt.Equals), http.StatusOK, qt.Commentf("node %d", node))
+			}
+		}
+		time.Sleep(apply)
+		for node := range f.nodes {
+			f.c.Check(status(node, "key-9"), qt.Equals, http.StatusOK, qt.Commentf("node %d", node))
+			f.c.Check(status(node, "key-1"), qt.Equals, http.StatusUnauthorized, qt.Commentf("node %d", node))
+		}
+		f.store.Put("op/config", configurationVersion(9, "key-9"))
+		f.store.Put("servers/m0", entry("models", "10.1.0.1:80", "ready"))
+		for version := 10; version < 13; version++ {
+			key := fmt.Sprintf("key-%d", version)
+			f.store.Put("op/config", configurationVersion(version, key))
+			time.Sleep(apply)
+			for node := range f.nodes {
+				f.c.Check(status(node, key), qt.Equals, http.StatusOK, qt.Commentf("node %d", node))
+				f.c.Check(status(node, "key-9"), qt.Not(qt.Equals), http.StatusOK, qt.Commentf("node %d", node))
+			}
+		}
+	})
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -25,6 +25,9 @@
 func (n *Node) loadRolloutKey(key string) {
 	pair := n.mirror.Get(key)
 	if pair.Version == 0 {
+		if service, ok := strings.CutPrefix(key, platform.PrefixRolloutStatus); ok {
+			n.rollouts.ClearStatus(route.Service(service))
+		}
 		return
 	}
 	var err error
--- a/internal/fake/platformfake/store.go
+++ b/internal/fake/platformfake/store.go
@@ -3,7 +3,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -34,6 +36,8 @@
 	changed chan struct{}
 	isDown  bool
 	calls   int
+	// era counts the calls of Restore.
+	era int
 }
 
 type lease struct {
@@ -83,6 +87,26 @@
 	s.notifyWatchers()
 }
 
+// Snapshot returns a function that restores the store to its state of now, as a drill does: revisions are given out again, leases are
+// gone with their keys, and the era rises.
+func (s *Store) Snapshot() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items, revision, history := maps.Clone(s.items), s.revision, slices.Clone(s.history)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, held := range s.leases {
+			held.timer.Stop()
+			delete(s.leases, id)
+		}
+		maps.DeleteFunc(items, func(_ string, i Item) bool { return i.Lease != 0 })
+		s.items, s.revision, s.history = items, revision, history
+		s.era++
+		s.notifyWatchers()
+	}
+}
+
 // Calls returns the number of calls since its last call.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -122,8 +146,11 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	down := s.isDown
+	down, era := s.isDown, s.era
 	s.mu.Unlock()
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -185,8 +212,13 @@
 	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
 	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timer.Stop()
+	era := s.currentEra()
 	for {
 		events, at, changed, status := s.eventsAfter(query.Get("prefix"), after)
+		if s.currentEra() != era {
+			// The store was away meanwhile.
+			status = http.StatusServiceUnavailable
+		}
 		if status != http.StatusOK {
 			w.WriteHeader(status)
 			return
@@ -206,6 +238,12 @@
 	}
 }
 
+func (s *Store) currentEra() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // eventsAfter returns the events after a revision, the current revision, a channel that is closed at the next change, and the HTTP status.
 func (s *Store) eventsAfter(prefix string, after int64) (events []Item, at int64, changed <-chan struct{}, status int) {
 	s.mu.Lock()
@@ -213,7 +251,7 @@
 	switch {
 	case s.isDown:
 		return nil, 0, nil, http.StatusServiceUnavailable
-	case after < s.compacted:
+	case after < s.compacted || after > s.revision:
 		return nil, 0, nil, http.StatusGone
 	}
 	events = []Item{}
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -91,6 +91,13 @@
 		return false
 	}
 	c.rejectedVersion = 0
+	if old != nil && cfg.Version < old.Config.Version {
+		// A store that was restored from an older copy holds an older configuration until operators have written the newer one again.
+		c.opts.Log.WithFields(log.Fields{
+			"revision": int64(cfg.Revision), "version": cfg.Version, "in_force": old.Config.Version,
+		}).Warn("ignored older configuration")
+		return true
+	}
 	c.table.Store(route.NewTable(cfg))
 	if old == nil {
 		close(c.loaded)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -14,9 +14,26 @@
 	MaxValueBytes = 1 << 20
 )
 
-// Version is the revision of the service at which a key was last changed; 0 means that the key does not exist.
+// Version is the revision of the service at which a key was last changed; 0 means that the key does not exist. Versions also order the
+// writes before and after a restore of the service from an older copy, which gives out revisions again: see NewVersion.
 type Version int64
 
+// Era counts the restores of a service from an older copy; 0 for a service that doesn't report them.
+type Era int64
+
+// revisionBits is the number of bits of a Version that hold the revision within the era; a thousand writes a second take 34 years to use
+// them up.
+const revisionBits = 40
+
+// NewVersion returns the Version of a revision in an era. All versions of a later era are higher.
+func NewVersion(era Era, revision int64) Version { return Version(int64(era)<<revisionBits + revision) }
+
+// Era returns the era of the version.
+func (v Version) Era() Era { return Era(v >> revisionBits) }
+
+// Revision returns the service's own revision, which is unique only within the era.
+func (v Version) Revision() int64 { return int64(v) & (1<<revisionBits - 1) }
+
 // LeaseID identifies a lease of the service; 0 means no lease.
 type LeaseID int64
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -69,6 +69,8 @@
 	missing map[string]time.Time
 	// revision is the store's revision up to which the copy is complete; 0 means that all keys must be listed.
 	revision kv.Version
+	// era is the store's era in the newest list.
+	era kv.Era
 	// history holds the newest change after historyFrom of each key that changed since, sorted by revision.
 	history     []kv.Event
 	historyFrom kv.Version
@@ -76,6 +78,8 @@
 	confirmedAt boottime.Time
 	// updated is closed and replaced when the copy was updated or confirmed.
 	updated chan struct{}
+	// restoreEnds is when operators and servers have written again what a restore of the store from an older copy has undone.
+	restoreEnds time.Time
 	// lastAnswer is when the store answered last, and outageEnded when it first answered after the last outage.
 	lastAnswer, outageEnded time.Time
 }
@@ -127,6 +131,9 @@
 		if err != nil {
 			return false, err
 		}
+		if err := m.checkEra(listed.Revision); err != nil {
+			return false, err
+		}
 		m.recordAnswer(time.Now().Add(-listed.Silence))
 		m.replace(listed)
 		m.confirm(sent - boottime.Time(listed.Age))
@@ -152,9 +159,40 @@
 	return len(batch.Events) > 0, nil
 }
 
-// confirm records that the copy includes all writes that were accepted by a time.
+// checkEra returns kv.ErrUnavailable for a list of an earlier era than the copy's, as from a node that doesn't know of a restore yet.
+func (m *Mirror) checkEra(listed kv.Version) error {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if listed.Era() < m.era {
+		return kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrOlderEra{Era: listed.Era()}})
+	}
+	return nil
+}
+
+// beginEra records the era of a list. If the store was restored from an older copy, the time in which operators and servers write
+// again what was lost begins; m.mu is held.
+func (m *Mirror) beginEra(listed kv.Version, now time.Time) {
+	if listed.Era() == m.era {
+		return
+	}
+	if len(m.pairs) > 0 {
+		m.outageEnded = now
+		m.restoreEnds = now.Add(restoreGracePeriod)
+		m.opts.Log.WithFields(log.Fields{
+			"era": int64(listed.Era()), "previous_era": int64(m.era), "revision": listed.Revision(),
+		}).Warn("store was restored from an older copy")
+	}
+	m.era = listed.Era()
+}
+
+// confirm records that the copy includes all writes that were accepted by a time. It doesn't while acknowledged writes may be missing in
+// a restored store.
 func (m *Mirror) confirm(at boottime.Time) {
 	m.mu.Lock()
+	if time.Now().Before(m.restoreEnds) {
+		m.mu.Unlock()
+		return
+	}
 	m.confirmedAt = max(m.confirmedAt, at)
 	close(m.updated)
 	m.updated = make(chan struct{})
@@ -181,6 +219,7 @@
 	now := time.Now()
 	var changed []string
 	m.mu.Lock()
+	m.beginEra(listed.Revision, now)
 	found := make(map[string]bool, len(listed.Pairs))
 	for _, pair := range listed.Pairs {
 		found[pair.Key] = true
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/kv"
@@ -67,6 +68,9 @@
 	if err := m.checkFresh(); err != nil {
 		return kv.WatchBatch{}, nil, err
 	}
+	if after.Era() > m.era {
+		return kv.WatchBatch{}, nil, kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrOlderEra{Era: m.era}})
+	}
 	if after < m.historyFrom {
 		return kv.WatchBatch{}, nil, kv.Error.Wrap(&kv.ErrCompacted{Oldest: m.historyFrom})
 	}
@@ -87,6 +91,12 @@
 // Error implements error.
 func (e *ErrSilent) Error() string { return "no answer of the store for " + e.Silence.String() }
 
+// ErrOlderEra means that a copy is of a store that has been restored from an older copy since.
+type ErrOlderEra struct{ Era kv.Era }
+
+// Error implements error.
+func (e *ErrOlderEra) Error() string { return fmt.Sprintf("copy is of era %d of the store", e.Era) }
+
 // ErrIncomplete means that a mirror has no complete copy of the store.
 type ErrIncomplete struct{}
 
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -97,11 +97,12 @@
 	}
 }
 
-// SetOrder starts tracking an order that was given at begin. An order that is not newer than the service's current one is ignored.
+// SetOrder starts tracking an order that was given at begin. An order that is not newer than the service's current one is ignored, and so
+// is one that was written again after a restore of the store from an older copy.
 func (t *Tracker) SetOrder(order Order, begin time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if current, ok := t.rollouts[order.Service]; ok && current.order.Revision >= order.Revision {
+	if current, ok := t.rollouts[order.Service]; ok && (current.order.Revision >= order.Revision || order.isRewrittenFrom(current.order)) {
 		return
 	}
 	t.rollouts[order.Service] = &rollout{
@@ -154,6 +155,15 @@
 	}
 }
 
+// ClearStatus records that the store has no status for a service, as after a restore from an older copy; it will be written again.
+func (t *Tracker) ClearStatus(service route.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.rollouts[service]; ok {
+		r.status = Status{Service: service}
+	}
+}
+
 // SetReport takes in a node's report and returns hashes of all sessions that stay on other versions. It returns nil if the report is
 // for another order.
 func (t *Tracker) SetReport(service route.Service, node api.NodeID, report NodeReport) (sessions []uint64) {
--- a/internal/versionrollout/book_test.go
+++ b/internal/versionrollout/book_test.go
@@ -238,3 +238,25 @@
 	qt.Assert(t, due, qt.HasLen, 1)
 	qt.Assert(t, due[0].State, qt.Equals, versionrollout.StateReverted)
 }
+
+// TestRolloutSurvivesRestoredStore restores the store from a copy that is older than a roll-out's end: the order that operators write again
+// doesn't begin a second roll-out, and the lost state is written again.
+func TestRolloutSurvivesRestoredStore(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	b := versionrollout.NewTracker(versionrollout.TrackerOptions{Node: "a"})
+	b.SetOrder(order, start)
+	b.SetStatus(versionrollout.Status{Service: service, Target: "v2", State: versionrollout.StateReverted, Version: 12})
+	qt.Assert(t, b.Due(start.Add(time.Second)), qt.HasLen, 0)
+
+	again := order
+	again.Revision = route.Revision(kv.NewVersion(1, 11))
+	b.SetOrder(again, start.Add(2*time.Second))
+	b.ClearStatus(service)
+	due := b.Due(start.Add(3 * time.Second))
+	qt.Assert(t, due, qt.HasLen, 1)
+	qt.Assert(t, due[0].State, qt.Equals, versionrollout.StateReverted)
+	qt.Assert(t, due[0].Status.Version, qt.Equals, kv.Version(0))
+	qt.Assert(t, due[0].Begin, qt.Equals, start)
+	b.SetStatus(versionrollout.Status{Service: service, Target: "v2", State: versionrollout.StateReverted, Version: kv.NewVersion(1, 13)})
+	qt.Assert(t, b.Due(start.Add(4*time.Second)), qt.HasLen, 0)
+}
--- a/internal/versionrollout/order.go
+++ b/internal/versionrollout/order.go
@@ -20,6 +20,11 @@
 	Revision route.Revision
 }
 
+// isRewrittenFrom reports whether the order is an earlier one that was written again after a restore of the store from an older copy.
+func (o Order) isRewrittenFrom(earlier Order) bool {
+	return kv.Version(o.Revision).Era() > kv.Version(earlier.Revision).Era() && o.Target == earlier.Target && o.Duration == earlier.Duration
+}
+
 // State is the state of a roll-out.
 type State int
 
