--- /dev/null
+++ b/internal/crashes/tracker.go
@@ -0,0 +1,339 @@
+// Package crashes finds the prompt parts and the requests that crash backend servers, so that they are rejected before they crash more.
+//
+// A crash ends all requests that run on the server. A request is suspected if it ran there before its answer began, with each of its shared
+// prompt parts and as a whole. A suspect is cleared once an answer to a request with it has begun. Of several parts that the same requests
+// had, a request with some of them only shows which one is the cause. Nodes share their reports through the store; each decides by itself,
+// without input or output here.
+package crashes
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/monsoonrail/monsoonrail/pkg/api"
+)
+
+const (
+	// MaxPerRequest is the number of servers that a request with a suspect may crash before it gets its final answer.
+	MaxPerRequest = 2
+	// minPartCrashes and minPartRequests are the crashes, and the requests that they belong to, from which on a prompt part is blocked. One
+	// request alone does not show which of its parts is the cause.
+	minPartCrashes  = 4
+	minPartRequests = 2
+	// minRequestCrashes is the number of crashes from which on a request is blocked that is sent again and again.
+	minRequestCrashes = 3
+	// clearedFor is how long after an answer began its request's parts aren't suspected.
+	clearedFor = 5 * time.Second
+	// ReportTTL is how long a report counts.
+	ReportTTL = 10 * time.Minute
+	// probeInterval is the time between a node's probes of a suspect: long enough for the result of one to reach all nodes.
+	probeInterval = 2 * time.Second
+	// maxSuspects bounds the suspects, and maxCleared the begun answers, that are remembered. Above them, outdated ones are dropped first.
+	maxSuspects = 4000
+	maxCleared  = 4000
+	// maxDue bounds the reports that Due returns at once.
+	maxDue = 16
+)
+
+// Report is one node's report that a request with a suspect crashed servers.
+type Report struct {
+	Suspect Suspect
+	Request api.RequestID
+	// Crashes is the number of servers that the request crashed; at least 1.
+	Crashes int
+	// IsCleared means that an answer to a request with the suspect has begun since, so that the report does not count.
+	IsCleared bool
+}
+
+// key identifies a report: later reports of the same request replace it.
+type key struct {
+	suspect Suspect
+	request api.RequestID
+}
+
+// held is a report with the time until which it counts.
+type held struct {
+	Report
+	expires time.Time
+}
+
+// Options configures NewTracker.
+type Options struct {
+	// ProbeDelay returns how long after its first request for a suspect that is to be probed this node begins to. Nodes with different
+	// delays don't probe at once.
+	ProbeDelay func(Suspect) time.Duration
+}
+
+// Tracker collects the reports of all nodes. It is safe for concurrent use.
+type Tracker struct {
+	opts Options
+
+	mu sync.Mutex
+	// reports holds the reports of each suspect.
+	reports map[Suspect]map[api.RequestID]held
+	// begunAt holds when an answer to a request with the suspect last began on this node.
+	begunAt map[Suspect]time.Time
+	// nextProbe holds when this node may probe a suspect.
+	nextProbe map[Suspect]time.Time
+	// due holds the reports to share, by their key, so that a newer one replaces an older one.
+	due map[key]Report
+}
+
+// NewTracker returns a tracker without reports.
+func NewTracker(opts Options) *Tracker {
+	return &Tracker{
+		opts: opts, reports: make(map[Suspect]map[api.RequestID]held), begunAt: make(map[Suspect]time.Time),
+		nextProbe: make(map[Suspect]time.Time), due: make(map[key]Report),
+	}
+}
+
+// Begun records that an answer to a request with the suspects has begun, which clears them.
+func (t *Tracker) Begun(suspects []Suspect, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.begunAt) > maxCleared {
+		for suspect, at := range t.begunAt {
+			if now.Sub(at) >= clearedFor {
+				delete(t.begunAt, suspect)
+			}
+		}
+	}
+	for _, suspect := range suspects {
+		t.begunAt[suspect] = now
+		t.clear(suspect)
+	}
+}
+
+// clear clears all reports of a suspect and shares that; t.mu is held.
+func (t *Tracker) clear(suspect Suspect) {
+	for request, report := range t.reports[suspect] {
+		if report.IsCleared {
+			continue
+		}
+		report.IsCleared = true
+		t.reports[suspect][request] = report
+		t.due[key{suspect, request}] = report.Report
+	}
+}
+
+// Crashed records that a request whose answer had not begun crashed servers, and shares it for those suspects that are not cleared.
+func (t *Tracker) Crashed(request api.RequestID, suspects []Suspect, servers int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, suspect := range suspects {
+		if t.isCleared(suspect, now) {
+			continue
+		}
+		report := Report{Suspect: suspect, Request: request, Crashes: servers}
+		t.hold(report, now)
+		t.due[key{suspect, request}] = report
+	}
+}
+
+// Add takes in a report of another node.
+func (t *Tracker) Add(report Report, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reports[report.Suspect][report.Request].IsCleared {
+		return
+	}
+	t.hold(report, now)
+	if t.isCleared(report.Suspect, now) {
+		t.clear(report.Suspect)
+	}
+}
+
+// hold stores a report; t.mu is held.
+func (t *Tracker) hold(report Report, now time.Time) {
+	if len(t.reports) > maxSuspects {
+		t.dropExpired(now)
+	}
+	if t.reports[report.Suspect] == nil {
+		if len(t.reports) > maxSuspects {
+			return
+		}
+		t.reports[report.Suspect] = make(map[api.RequestID]held)
+	}
+	t.reports[report.Suspect][report.Request] = held{Report: report, expires: now.Add(ReportTTL)}
+}
+
+func (t *Tracker) dropExpired(now time.Time) {
+	for suspect, reports := range t.reports {
+		for request, report := range reports {
+			if !now.Before(report.expires) {
+				delete(reports, request)
+			}
+		}
+		if len(reports) == 0 {
+			delete(t.reports, suspect)
+			delete(t.nextProbe, suspect)
+		}
+	}
+}
+
+// isCleared reports whether an answer to a request with the suspect has begun recently; t.mu is held.
+func (t *Tracker) isCleared(suspect Suspect, now time.Time) bool {
+	at, ok := t.begunAt[suspect]
+	return ok && now.Sub(at) < clearedFor
+}
+
+// HasUncleared reports whether no answer to a request with one of the suspects has begun recently, so that the request may be the cause of a
+// crash.
+func (t *Tracker) HasUncleared(suspects []Suspect, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, suspect := range suspects {
+		if !t.isCleared(suspect, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdict says whether a request may be sent to a server.
+type Verdict int
+
+const (
+	// Allowed means that the request may be sent.
+	Allowed Verdict = iota
+	// Probe means that the request shows which of several suspects is the cause: it may crash one server at most.
+	Probe
+	// Blocked means that the request must not be sent.
+	Blocked
+)
+
+// Check returns whether a request with the suspects may be sent to a server, and the suspect that decides. A Probe is counted as sent.
+func (t *Tracker) Check(suspects []Suspect, now time.Time) (Verdict, Suspect) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict, decisive := Allowed, Suspect("")
+	for _, suspect := range suspects {
+		if !t.isCondemned(suspect, now) {
+			continue
+		}
+		switch rival := t.findRival(suspect, suspects, now); {
+		case rival == noRival:
+			return Blocked, suspect
+		case rival == strongerRival:
+			continue
+		case verdict == Allowed:
+			verdict, decisive = Probe, suspect
+		}
+	}
+	if verdict == Probe && !t.mayProbe(decisive, now) {
+		verdict = Blocked
+	}
+	return verdict, decisive
+}
+
+// isCondemned reports whether the reports of a suspect suffice to block it; t.mu is held.
+func (t *Tracker) isCondemned(suspect Suspect, now time.Time) bool {
+	requests, crashes := t.countReports(suspect, now)
+	if suspect.isWholeRequest() {
+		return crashes >= minRequestCrashes
+	}
+	return crashes >= minPartCrashes && requests >= minPartRequests
+}
+
+// counts reports whether a report is in force.
+func (h held) counts(now time.Time) bool { return !h.IsCleared && now.Before(h.expires) }
+
+// rival says whether another part explains all crashes of a suspect as well.
+type rival int
+
+const (
+	noRival rival = iota
+	// equalRival is a part of exactly the same requests.
+	equalRival
+	// strongerRival is a part of further requests that crashed servers too.
+	strongerRival
+)
+
+// findRival returns the strongest rival of a part among those that the request doesn't have; t.mu is held.
+func (t *Tracker) findRival(suspect Suspect, present []Suspect, now time.Time) rival {
+	if suspect.isWholeRequest() {
+		return noRival
+	}
+	found := noRival
+	requests, _ := t.countReports(suspect, now)
+	for other := range t.reports {
+		if other.isWholeRequest() || slices.Contains(present, other) || !t.explains(other, suspect, now) {
+			continue
+		}
+		if theirs, _ := t.countReports(other, now); theirs > requests {
+			return strongerRival
+		}
+		found = equalRival
+	}
+	return found
+}
+
+// countReports returns the requests that crashed servers with a suspect, and the number of crashes; t.mu is held.
+func (t *Tracker) countReports(suspect Suspect, now time.Time) (requests, crashes int) {
+	for _, report := range t.reports[suspect] {
+		if report.counts(now) {
+			requests++
+			crashes += report.Crashes
+		}
+	}
+	return requests, crashes
+}
+
+// explains reports whether each request that crashed servers with the suspect had the other part too; t.mu is held.
+func (t *Tracker) explains(other, suspect Suspect, now time.Time) bool {
+	for request, report := range t.reports[suspect] {
+		if report.counts(now) && !t.reports[other][request].counts(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayProbe reports whether this node may send a probe now, and counts it; t.mu is held.
+func (t *Tracker) mayProbe(suspect Suspect, now time.Time) bool {
+	next, ok := t.nextProbe[suspect]
+	if !ok {
+		next = now.Add(t.opts.ProbeDelay(suspect))
+		t.nextProbe[suspect] = next
+	}
+	if now.Before(next) {
+		return false
+	}
+	t.nextProbe[suspect] = now.Add(probeInterval)
+	return true
+}
+
+// IsEmpty reports whether there is no report.
+func (t *Tracker) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.reports) == 0
+}
+
+// Due returns reports to share. Reports that could not be shared are given back with Retry.
+func (t *Tracker) Due() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []Report
+	for k, report := range t.due {
+		if len(due) == maxDue {
+			break
+		}
+		due = append(due, report)
+		delete(t.due, k)
+	}
+	return due
+}
+
+// Retry makes Due return reports again, unless there are newer ones.
+func (t *Tracker) Retry(reports []Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, report := range reports {
+		k := key{report.Suspect, report.Request}
+		if _, ok := t.due[k]; !ok {
+			t.due[k] = report
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/crashes.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/monsoonrail/monsoonrail/internal/crashes"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
+	"github.com/monsoonrail/monsoonrail/internal/sleep"
+)
+
+// crashReportInterval is the interval at which reports of crashes are written to the store, several in one transaction.
+const crashReportInterval = 100 * time.Millisecond
+
+// probeStagger is the time between the first probes of two nodes, so that few are under way before the result of one is known.
+const probeStagger = 500 * time.Millisecond
+
+// probeDelay returns how long this node waits before it probes a suspect, by its rank among the nodes.
+func (n *Node) probeDelay(suspect crashes.Suspect) time.Duration {
+	ranked := rendezvous.Rank(string(suspect), *n.nodes.Load(), func(node nodelist.Node) string { return string(node.ID) })
+	for i, node := range ranked {
+		if node.ID == n.opts.Settings.Node {
+			return time.Duration(i) * probeStagger
+		}
+	}
+	return time.Duration(len(ranked)) * probeStagger
+}
+
+// loadCrashReport applies a stored report of a crash. The removal of a report changes nothing: reports expire on each node by themselves.
+func (n *Node) loadCrashReport(key string) {
+	pair := n.mirror.Get(key)
+	if pair.Version == 0 {
+		return
+	}
+	report, err := crashes.Decode(pair)
+	if err != nil {
+		n.log.WithField("key", key).WithError(err).Warn("ignored invalid crash report")
+		return
+	}
+	n.crashes.Add(report, time.Now())
+}
+
+// shareCrashReports writes this node's reports of crashes until ctx ends.
+func (n *Node) shareCrashReports(ctx context.Context) error {
+	return sleep.Every(ctx, crashReportInterval, func(time.Time) {
+		due := n.crashes.Due()
+		if len(due) == 0 {
+			return
+		}
+		if err := n.writeCrashReports(ctx, due); err != nil {
+			n.log.WithField("reports", len(due)).WithError(err).Warn("could not write crash reports")
+			n.crashes.Retry(due)
+		}
+	})
+}
+
+func (n *Node) writeCrashReports(ctx context.Context, reports []crashes.Report) error {
+	lease, err := n.store.Grant(ctx, crashes.ReportTTL)
+	if err != nil {
+		return err
+	}
+	var txn kv.Txn
+	for _, report := range reports {
+		value, err := report.Encode()
+		if err != nil {
+			return err
+		}
+		txn.Then = append(txn.Then, kv.Op{Kind: kv.OpPut, Key: report.Key(), Value: value, Lease: lease.ID})
+		n.log.WithFields(log.Fields{
+			"suspect": string(report.Suspect), "request": string(report.Request), "crashes": report.Crashes, "cleared": report.IsCleared,
+		}).Info("crash reported")
+	}
+	_, err = n.store.Commit(ctx, txn)
+	return err
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/boottime"
+	"github.com/monsoonrail/monsoonrail/internal/crashes"
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/inforce"
@@ -88,6 +89,7 @@
 	backends     *backend.Set
 	pool         *upstream.Pool
 	rollouts     *versionrollout.Tracker
+	crashes      *crashes.Tracker
 	gateway      *gateway.Gateway
 	announcer    *nodelist.Announcer
 	// nodes holds the nodes that are listed in the store as accepting requests.
@@ -99,6 +101,7 @@
 // New returns a node; it makes no calls and opens no listeners until Run is called.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet()}
+	n.crashes = crashes.NewTracker(crashes.Options{ProbeDelay: n.probeDelay})
 	n.settings.Store(&opts.Settings)
 	n.nodes.Store(&[]nodelist.Node{})
 	n.transport = tcp.NewTransport(opts.Network)
@@ -136,6 +139,7 @@
 		RetryBudget: retrybudget.New(retrybudget.Options{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, NodeCount: n.countNodes,
 		}),
+		Crashes:     n.crashes,
 		ModelPolicy: gateway.Cascade{MinConfidence: []int{60, 55, 45}}, FailureDomain: opts.Settings.FailureDomain, NodeCount: n.countNodes,
 		Log: opts.Log, Metrics: n.metrics,
 	})
@@ -162,6 +166,7 @@
 	super.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
 	super.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
 	super.Add(supervisor.Duty{Name: "roll-outs", Run: n.runRollouts})
+	super.Add(supervisor.Duty{Name: "crash-reports", Run: n.shareCrashReports})
 	super.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
 		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
 	}})
@@ -301,6 +306,8 @@
 			servers = true
 		case strings.HasPrefix(key, nodelist.Prefix):
 			nodes = true
+		case strings.HasPrefix(key, crashes.KeyPrefix):
+			n.loadCrashReport(key)
 		default:
 			n.loadRolloutKey(key)
 		}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -42,6 +42,8 @@
 	nodes     []*runningNode
 	client    *http.Client
 	startedAt time.Time
+	// parts are the prompt parts of requests for streams.
+	parts string
 	// requests counts the callers' requests; the count makes request IDs unique.
 	requests atomic.Int64
 }
@@ -79,7 +81,7 @@
 // withTestFleet runs a test in a synctest bubble with a started fleet.
 func withTestFleet(t *testing.T, test func(f *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &testFleet{c: qt.New(t), network: memnet.New(), store: platformfake.NewStore(), startedAt: time.Now()}
+		f := &testFleet{c: qt.New(t), network: memnet.New(), store: platformfake.NewStore(), startedAt: time.Now(), parts: "aa:10,bb:20"}
 		var servers []*http.Server
 		serve := func(ip string, handler http.Handler) {
 			listener, err := f.network.Host(ip).Listen(context.Background(), ip+":80")
@@ -92,6 +94,7 @@
 		for i := range 2 {
 			server := platformfake.NewServer(platformfake.ServerOptions{
 				ID: fmt.Sprintf("m%d", i), Latency: 50 * time.Millisecond, Pause: 100 * time.Millisecond, Events: 10, Confidence: 90,
+				DeadlyPart: "dead",
 			})
 			f.models = append(f.models, server)
 			ip := fmt.Sprintf("10.1.0.%d", i+1)
@@ -185,7 +188,7 @@
 	}
 	if strings.HasPrefix(path, "/s/") {
 		req.Header.Set("Model", "*")
-		req.Header.Set("Prompt-Prefix", "aa:10,bb:20")
+		req.Header.Set("Prompt-Prefix", f.parts)
 		req.Header.Set("Token-Usage", "30,100")
 	}
 	resp, err := f.client.Do(req)
@@ -594,6 +597,36 @@
 	})
 }
 
+// TestPromptPartThatCrashesServers sends requests that share one prompt part, at which servers crash, through both nodes: few of them may reach
+// a server. Requests with the same other parts are served meanwhile.
+func TestPromptPartThatCrashesServers(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		reached := func() (count int) {
+			for _, run := range f.executedRuns() {
+				if strings.Contains(run.Parts, "dead:") {
+					count++
+				}
+			}
+			return count
+		}
+		var late int
+		for i := range 40 {
+			f.parts = fmt.Sprintf("aa:10,dead:20,cc:30,own%d:5", i)
+			f.c.Check(f.send(context.Background(), i%2, "/s/1", "key-1").status, qt.Not(qt.Equals), http.StatusOK)
+			f.parts = fmt.Sprintf("aa:10,cc:30,own%d:5", i)
+			got := f.send(context.Background(), i%2, "/s/1", "key-1")
+			if i >= 10 {
+				f.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+			}
+			if i == 10 {
+				late = reached()
+			}
+		}
+		f.c.Check(late <= 5, qt.IsTrue, qt.Commentf("%d requests", late))
+		f.c.Check(reached(), qt.Equals, late)
+	})
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -16,13 +16,15 @@
 	Latency, Pause time.Duration
 	// Events is the number of events of a stream; 0 makes the server answer calls instead.
 	Events int
+	// DeadlyPart is a part of prompts at which the server crashes when it would begin to answer; empty means none.
+	DeadlyPart string
 	// Confidence is the value of the Confidence header in responses of the model "small".
 	Confidence int
 }
 
 // Run records a request that a server began to run.
 type Run struct {
-	ID, Tenant, Model, LastEvent, Path, DeadlineMs string
+	ID, Tenant, Model, LastEvent, Path, DeadlineMs, Parts string
 	// HasKey reports whether the caller's API key was forwarded.
 	HasKey bool
 }
@@ -86,11 +88,15 @@
 	s.runs = append(s.runs, Run{
 		ID: header.Get("Attempt-Id"), Tenant: header.Get("Tenant"), Model: header.Get("Model"), Path: req.URL.RequestURI(),
 		LastEvent: header.Get("Last-Event-Id"), DeadlineMs: header.Get("Deadline-Ms"), HasKey: header.Get("Key") != "",
+		Parts: header.Get("Prompt-Prefix"),
 	})
 	s.mu.Unlock()
 	if !wait(req, s.opts.Latency) {
 		panic(http.ErrAbortHandler)
 	}
+	if s.opts.DeadlyPart != "" && strings.Contains(header.Get("Prompt-Prefix"), s.opts.DeadlyPart+":") {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Server-Signature", "signed."+s.opts.ID)
 	w.Header().Set("Server-Load", "1,0,8")
 	if s.opts.Events == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/crashes"
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
@@ -54,6 +55,18 @@
 	SlowPace(service route.Service, kind route.Name) float64
 }
 
+// Crashes finds the requests that crash servers; see package crashes.
+type Crashes interface {
+	Begun(suspects []crashes.Suspect, now time.Time)
+	Crashed(request api.RequestID, suspects []crashes.Suspect, servers int, now time.Time)
+	// HasUncleared reports whether the request may be the cause of a crash.
+	HasUncleared(suspects []crashes.Suspect, now time.Time) bool
+	// Check returns whether a request may be sent to a server, and the suspect that decides.
+	Check(suspects []crashes.Suspect, now time.Time) (crashes.Verdict, crashes.Suspect)
+	// IsEmpty reports whether nothing is suspected.
+	IsEmpty() bool
+}
+
 // Options configures New; all fields but Log are required.
 type Options struct {
 	Node          api.NodeID
@@ -63,6 +76,7 @@
 	Configs       Configs
 	Versions      Versions
 	RetryBudget   *retrybudget.Budget
+	Crashes       Crashes
 	ModelPolicy   ModelPolicy
 	FailureDomain api.FailureDomain
 	// NodeCount returns the number of nodes in service, at least 1.
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -71,6 +71,7 @@
 // attemptFailed records an attempt that got no answer, and returns whether the request may have run.
 func (d *dispatcher) attemptFailed(server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
 	server.RecordFailure(time.Now())
+	d.countCrash(err)
 	if tcp.IsErrNotSent(err) {
 		d.countAttempt(server, outcomeNotRun)
 	} else {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -95,6 +95,7 @@
 
 // writeEvent sends an event to the caller, and reports false if the caller has disconnected.
 func (d *dispatcher) writeEvent(control *http.ResponseController, answer *upstream.Answer, event upstream.Event, flush bool) bool {
+	d.answerBegun()
 	d.sendHead(answer)
 	if _, err := d.w.Write(event.Raw); err != nil {
 		return false
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -55,6 +55,11 @@
 	slowPace float64
 	// isFillAttempt is set if the server was chosen to observe the candidate version under load.
 	isFillAttempt bool
+	// crashes counts the servers that broke off the request before its answer had begun; hasBegun is set once it has.
+	crashes  int
+	hasBegun bool
+	// isProbe is set if the request may crash one server at most.
+	isProbe bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
 	lastErrorAnswer *wholeAnswer
 }
@@ -103,6 +108,7 @@
 // serve makes attempts until the caller has its answer or no further attempt is allowed.
 func (d *dispatcher) serve(ctx context.Context) {
 	d.g.opts.RetryBudget.RecordRequest(d.service.Name, d.arrived)
+	defer d.reportCrashes()
 	isRetry := false
 	for {
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -135,6 +141,10 @@
 				d.failRequest(&rejection{status: http.StatusBadGateway, reason: "server's answer lost"})
 				return
 			}
+			if d.hasCrashedEnough() {
+				d.failRequest(&rejection{status: http.StatusBadGateway, reason: reasonCrashes})
+				return
+			}
 		case resultNotRun:
 			sleep.For(ctx, notRunDelay)
 		}
@@ -155,7 +165,7 @@
 	if d.team != nil && !d.g.opts.Configs.MayUseKeys() {
 		return retryLater(reasonStaleKeys)
 	}
-	return nil
+	return d.checkCrashes()
 }
 
 // handleAnswer decides by the head of an answer whether to forward it or to make another attempt.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -32,6 +32,7 @@
 		return d.attemptFailed(server, err, startedAt)
 	}
 	server.RecordSuccess()
+	d.answerBegun()
 	d.observe(server, versionrollout.Outcome{Pace: versionrollout.Pace(time.Since(startedAt), 0, 0)})
 	d.sendWhole(read)
 	d.countAttempt(server, outcomeAnswered)
