Resume a stream that ends with its connection and within an event

What callers saw: a stream without length and chunks whose server was cut off within an event ended as if it were complete.

Cause: the end of such a body is the end of its connection, which looks alike for a whole stream and a broken one. What was left of an event was passed on as the last bytes of the answer.

Change: without length and chunks, an incomplete last event means that the stream was broken off, and it is resumed elsewhere.

Evidence: TestUnframedStreamThatEndsWithinAnEventIsResumed fails before. With a length or chunks nothing changes.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -259,6 +259,19 @@
 	})
 }
 
+// TestUnframedStreamThatEndsWithinAnEventIsResumed ends a stream without length and chunks within an event: it is resumed, although its connection
+// was closed properly.
+func TestUnframedStreamThatEndsWithinAnEventIsResumed(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		for _, server := range f.models {
+			server.TruncateNextUnframedStream(3)
+		}
+		got := f.send(context.Background(), 0, "/s/1", "key-1")
+		f.c.Assert(got.err, qt.IsNil)
+		f.c.Assert(got.body, qt.Equals, platformfake.Stream("/s/1", 10))
+	})
+}
+
 // TestSilentStreamIsKeptOnTheLastServer lets the only server pause longer between events than the route's limit: since no other server
 // can resume the stream, the gateway must keep waiting and the caller must get the whole stream.
 func TestSilentStreamIsKeptOnTheLastServer(t *testing.T) {
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -35,9 +35,11 @@
 
 	mu   sync.Mutex
 	runs []Run
-	// truncateAfter is the number of events after which the next stream is broken off; 0 means never. status is the status of
+	// truncateAfter is the number of events after which the next stream is broken off; 0 means never. isUnframed lets that stream have
+	// neither a length nor chunks, so that it ends with its connection. status is the status of
 	// responses to calls. rejects makes the server reject requests without running them.
 	truncateAfter int
+	isUnframed    bool
 	status        int
 	rejects       bool
 }
@@ -52,6 +54,14 @@
 	s.truncateAfter = events
 }
 
+// TruncateNextUnframedStream ends the connection of the next stream within an event, after a number of events. The stream has neither a length
+// nor chunks.
+func (s *Server) TruncateNextUnframedStream(events int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.truncateAfter, s.isUnframed = events, true
+}
+
 // SetResponse sets the status of responses to calls; rejects makes the server reject all requests with the header Not-Executed.
 func (s *Server) SetResponse(status int, rejects bool) {
 	s.mu.Lock()
@@ -71,8 +81,8 @@
 	header := req.Header
 	w.Header().Set("Attempt-Id", header.Get("Attempt-Id"))
 	s.mu.Lock()
-	truncateAfter, status, rejects := s.truncateAfter, s.status, s.rejects
-	s.truncateAfter = 0
+	truncateAfter, isUnframed, status, rejects := s.truncateAfter, s.isUnframed, s.status, s.rejects
+	s.truncateAfter, s.isUnframed = 0, false
 	s.mu.Unlock()
 	if expected := header.Get("Expect-Instance"); expected != s.opts.ID {
 		w.Header().Set("Instance-Id", s.opts.ID)
@@ -107,9 +117,26 @@
 	if header.Get("Model") == "small" {
 		w.Header().Set("Confidence", strconv.Itoa(s.opts.Confidence))
 	}
+	if isUnframed {
+		truncateUnframed(w, req, truncateAfter)
+		return
+	}
 	s.stream(w, req, truncateAfter)
 }
 
+// truncateUnframed writes events and the beginning of another one, and closes the connection.
+func truncateUnframed(w http.ResponseWriter, req *http.Request, events int) {
+	conn, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	fmt.Fprint(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
+	_ = w.Header().Write(out)
+	fmt.Fprint(out, "\r\n"+Stream(req.URL.Path, events)+"id: "+strconv.Itoa(events+1)+"\nda")
+	_ = out.Flush()
+	_ = conn.Close()
+}
+
 func (s *Server) stream(w http.ResponseWriter, req *http.Request, truncateAfter int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -31,6 +31,10 @@
 		}
 		event, err := events.Next()
 		isEnd := errors.Is(err, io.EOF)
+		if isEnd && len(event.Raw) > 0 && !answer.IsDelimited() {
+			// A stream that ends with its connection, and within an event, was broken off.
+			err, isEnd = io.ErrUnexpectedEOF, false
+		}
 		if err != nil && !isEnd {
 			return d.streamFailed(ctx, server, err, startedAt)
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -143,6 +143,12 @@
 // SetReadDeadline sets the deadline for reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
+// IsDelimited reports whether the body has a length or comes in chunks, so that its end shows that it is complete. Otherwise it ends with the
+// connection.
+func (a *Answer) IsDelimited() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // Close returns the connection to the pool if the complete answer was read and the server keeps the connection open, and closes it
 // otherwise.
 func (a *Answer) Close() {
@@ -152,8 +158,7 @@
 	c := a.conn
 	a.conn = nil
 	isOpen := a.stopWatch()
-	isDelimited := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
-	if !isOpen || !a.isComplete || a.resp.Close || !isDelimited || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+	if !isOpen || !a.isComplete || a.resp.Close || !a.IsDelimited() || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
