Bound what a server may send that is no answer

What callers and operators would see: a server in trouble that sends bytes without end in place of a head makes the node's memory grow until the process is killed, with all its requests; one that sends empty events or comments without end holds its request to the deadline and passes the bytes on.

Cause: net/http bounds heads in its Transport, not in ReadResponse, which the pool of connections uses. A stream's silence was counted from the last event of any kind.

Change: a head has 64 KB, one megabyte may pass between two events with an id, and only these count as progress of a stream. Whole answers had a bound already, and so have answers of the store and of other nodes.

Evidence: TestEndlessHead (did not end before, within 4 s), TestEndlessStreamWithoutIDs (two of four texts had no bound before).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,11 +25,16 @@
 	events := upstream.NewEventReader(answer.Body)
 	control := http.NewResponseController(d.w)
 	eventsBefore := d.eventsSent
+	isProgress := true
 	for {
-		if err := answer.SetReadDeadline(d.silenceDeadline()); err != nil {
-			return d.streamFailed(ctx, server, err, startedAt)
+		// Only an event with an id is progress: a server in trouble may send other bytes without end.
+		if isProgress {
+			if err := answer.SetReadDeadline(d.silenceDeadline()); err != nil {
+				return d.streamFailed(ctx, server, err, startedAt)
+			}
 		}
 		event, err := events.Next()
+		isProgress = event.ID != ""
 		isEnd := errors.Is(err, io.EOF)
 		if isEnd && len(event.Raw) > 0 && !answer.IsDelimited() {
 			// A stream that ends with its connection, and within an event, was broken off.
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -36,10 +36,18 @@
 	return fmt.Sprintf("answer to request %q instead of %q", e.Got, e.Wanted)
 }
 
-// ErrEventTooLarge means that an event of a stream or a whole answer exceeds its maximum size.
+// ErrEventTooLarge means that an event of a stream, the bytes between two events with an id, or a whole answer exceed their maximum size.
 type ErrEventTooLarge struct{ MaxBytes int }
 
 // Error implements error.
 func (e *ErrEventTooLarge) Error() string {
 	return fmt.Sprintf("event is over %d bytes", e.MaxBytes)
 }
+
+// ErrHeadTooLarge means that the head of an answer exceeds its maximum size.
+type ErrHeadTooLarge struct{ MaxBytes int }
+
+// Error implements error.
+func (e *ErrHeadTooLarge) Error() string {
+	return fmt.Sprintf("head of the answer is over %d bytes", e.MaxBytes)
+}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
+// maxEventBytes bounds the size of one event of a stream, and the bytes between two events with an id.
 const maxEventBytes = 1 << 20
 
 // Event is one event of a stream as the server sent it.
@@ -22,6 +22,8 @@
 type EventReader struct {
 	in  *bufio.Reader
 	raw []byte
+	// bytesWithoutID counts the bytes since the last event with an id.
+	bytesWithoutID int
 }
 
 // NewEventReader returns a reader of the events of a body.
@@ -33,7 +35,7 @@
 func (r *EventReader) HasBuffered() bool { return r.in.Buffered() > 0 }
 
 // Next returns the next complete event. At the end of the stream it returns io.EOF, with the bytes of an incomplete last event in Raw.
-// It returns ErrEventTooLarge for an event over maxEventBytes.
+// It returns ErrEventTooLarge for more than maxEventBytes without an event that has an id.
 func (r *EventReader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	event := Event{}
@@ -46,6 +48,10 @@
 		line := bytes.TrimRight(r.raw[start:], "\r\n")
 		if len(line) == 0 {
 			event.Raw = r.raw
+			r.bytesWithoutID += len(r.raw)
+			if event.ID != "" {
+				r.bytesWithoutID = 0
+			}
 			return event, nil
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -59,7 +65,7 @@
 	for {
 		part, err := r.in.ReadSlice('\n')
 		r.raw = append(r.raw, part...)
-		if len(r.raw) > maxEventBytes {
+		if r.bytesWithoutID+len(r.raw) > maxEventBytes {
 			return Error.Wrap(&ErrEventTooLarge{MaxBytes: maxEventBytes})
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -91,7 +91,9 @@
 	sent := &http.Request{Method: req.Method}
 	mismatch := &ErrAnswerMismatch{Wanted: req.ID}
 	for range maxSkippedAnswers + 1 {
+		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, sent)
+		c.head.end()
 		if err != nil {
 			return fail(err)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	maxIdlePerServer = 32
 	// readBufferBytes is the read buffer size of each connection; heads of answers and events of streams are usually shorter.
 	readBufferBytes = 2 << 10
+	// maxHeadBytes bounds the head of an answer: a server in trouble may send bytes that are no answer without end.
+	maxHeadBytes = 64 << 10
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
 )
@@ -60,6 +63,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// head bounds the bytes that the reader gets while it reads a head.
+	head *headLimiter
 	// reused means that an earlier request was answered on the connection.
 	reused bool
 	// idleUntil is when the connection expires; set while it is idle.
@@ -94,7 +99,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	head := &headLimiter{next: opened}
+	return &conn{Conn: opened, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+}
+
+// headLimiter bounds the bytes read between begin and end. It is used by one goroutine.
+type headLimiter struct {
+	next io.Reader
+	// left is the number of bytes that may still be read; valid if isLimited.
+	left      int
+	isLimited bool
+}
+
+func (l *headLimiter) begin() { l.left, l.isLimited = maxHeadBytes, true }
+func (l *headLimiter) end()   { l.isLimited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.isLimited {
+		return l.next.Read(p)
+	}
+	if l.left == 0 {
+		return 0, Error.Wrap(&ErrHeadTooLarge{MaxBytes: maxHeadBytes})
+	}
+	n, err := l.next.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // putIdle adds a connection to the pool, or closes it if the pool is full or closed. keepAlive is the server's Keep-Alive timeout; 0 if
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -172,6 +173,76 @@
 	<-ended
 }
 
+// endless writes a text again and again until the peer closes the connection, and returns the number of bytes.
+func endless(conn net.Conn, text string) (written int) {
+	for {
+		n, err := io.WriteString(conn, text)
+		written += n
+		if err != nil {
+			return written
+		}
+	}
+}
+
+// TestEndlessHead lets a server send bytes without end in place of a head, or within one: Send gives up after a bounded number of bytes and
+// closes the connection.
+func TestEndlessHead(t *testing.T) {
+	const maxBuffered = 8 << 20
+	for name, answer := range map[string]struct{ begin, repeat string }{
+		"junk":         {"", "\x00\xffjunk"},
+		"header":       {"HTTP/1.1 200 OK\r\nX-Junk: ", strings.Repeat("x", 1000)},
+		"headers":      {"HTTP/1.1 200 OK\r\n", "X-Junk: junk\r\n"},
+		"informations": {"", "HTTP/1.1 103 Early Hints\r\nX-Junk: junk\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = listener.Close() }()
+			written := make(chan int, 1)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, answer.begin)
+				written <- endless(conn, answer.repeat)
+			}()
+			_, _, err = sendRequest(newPool(t), listener.Addr().String(), "1")
+			qt.Assert(t, upstream.IsErrNoAnswer(err), qt.IsTrue, qt.Commentf("%v", err))
+			// The rest of the bytes are in the buffers of the connection.
+			qt.Assert(t, <-written < maxBuffered, qt.IsTrue)
+		})
+	}
+}
+
+// repeated is a reader that repeats a text without end.
+type repeated struct {
+	text string
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
+
+// TestEndlessStreamWithoutIDs reads streams without end in which no event has an id: the reader gives up.
+func TestEndlessStreamWithoutIDs(t *testing.T) {
+	for _, text := range []string{"x", "\n", ": comment\n", "data: a\n\n"} {
+		events := upstream.NewEventReader(&repeated{text: text})
+		var err error
+		for range 4 << 20 {
+			if _, err = events.Next(); err != nil {
+				break
+			}
+		}
+		var tooLarge *upstream.ErrEventTooLarge
+		qt.Check(t, errors.As(err, &tooLarge), qt.IsTrue, qt.Commentf("%q: %v", text, err))
+	}
+}
+
 // TestEvents checks that a stream is split into events without changing any byte, whatever the size of the reads.
 func TestEvents(t *testing.T) {
 	const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\ndata: none\n\nid: 4\nda"
