Read large answers in small steps to see their progress (CONFIG)

What callers would see: a node whose share of a link is small gives up a large configuration although it arrives steadily.

Cause: the reader of a chunked body returns only once the buffer is full, and io.ReadAll's buffer grows with the answer, so that one read of a few hundred kilobytes took longer than an answer may pause.

Change: a read of an answer returns at most 2 KB.

Evidence: TestLargeChunkIsProgress fails before.

--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -56,6 +56,9 @@
 	c.end()
 }
 
+// maxReadBytes bounds one read: the reader of a chunked body returns only once it has filled the buffer or reached the end of a chunk.
+const maxReadBytes = 2 << 10
+
 // progressReader restarts the timer of its call with each read that returns bytes.
 type progressReader struct {
 	call *Call
@@ -64,7 +67,7 @@
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
-	n, err := r.next.Read(p)
+	n, err := r.next.Read(p[:min(len(p), maxReadBytes)])
 	if n > 0 {
 		r.call.timer.Reset(r.call.stall)
 	}
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -66,3 +66,23 @@
 		})
 	}
 }
+
+// fullReads is a body whose reads return only once they have filled the buffer, as those of a large chunk do.
+type fullReads struct{ next io.Reader }
+
+func (f fullReads) Read(p []byte) (int, error) { return io.ReadFull(f.next, p) }
+
+// TestLargeChunkIsProgress reads a body that arrives slowly but steadily through a reader that fills each buffer.
+func TestLargeChunkIsProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, call := transfer.Begin(context.Background(), transfer.Bounds{Head: time.Second, Stall: 400 * time.Millisecond, Total: time.Minute})
+		defer call.End()
+		// 40 KB a second, the share of one of 31 followers of a node with a link of 10 Mbit/s.
+		pauses := make([]time.Duration, 200<<10)
+		for i := range pauses {
+			pauses[i] = time.Second / 40_000
+		}
+		_, err := io.ReadAll(call.Body(fullReads{&slowBody{ctx: ctx, pauses: pauses}}))
+		qt.Check(t, err, qt.Equals, io.ErrUnexpectedEOF)
+	})
+}
