Bound roll-out reports by their progress

What operators would see: 'could not send roll-out report' from many nodes at once while the sessions are listed, so that the verdict on a version comes late.

Change: the bounds of package transfer.

Evidence: TestManySessionsOverSlowLink, four nodes of which none gets the sessions before.

--- a/internal/rolloutrpc/rolloutrpc.go
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -22,8 +22,11 @@
 const pathReport = "/v1/rollouts/report"
 
 const (
-	// callTimeout bounds a call: nodes are milliseconds apart, and a report whose call has timed out is sent again.
+	// callTimeout bounds the time to the first byte of a response, and each pause within it: nodes are milliseconds apart, and a report
+	// whose call has timed out is sent again.
 	callTimeout = 400 * time.Millisecond
+	// maxTransfer bounds a call as a whole. A response has the sessions of all nodes.
+	maxTransfer = 2 * time.Second
 	// maxBytes bounds the bodies of a report and of its response, in bytes.
 	maxBytes = 4 << 20
 )
@@ -74,7 +77,8 @@
 func Send(ctx context.Context, client *http.Client, address string, report Report) (ReportResponse, error) {
 	var collected ReportResponse
 	got, err := httpjson.Do(ctx, client, httpjson.Request{
-		Method: http.MethodPost, URL: "http://" + address + pathReport, Body: report, Timeout: callTimeout, MaxResponseBytes: maxBytes,
+		Method: http.MethodPost, URL: "http://" + address + pathReport, Body: report, MaxResponseBytes: maxBytes,
+		Timeout: callTimeout, MaxStall: callTimeout, MaxDuration: maxTransfer,
 	}, &collected)
 	var status *httpjson.ErrStatus
 	switch {
--- a/internal/rolloutrpc/rolloutrpc_test.go
+++ b/internal/rolloutrpc/rolloutrpc_test.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/rolloutrpc"
 	"github.com/monsoonrail/monsoonrail/internal/route"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -51,6 +57,46 @@
 	qt.Assert(t, c.report, qt.DeepEquals, report)
 }
 
+// manySessions returns as many sessions as a node remembers.
+type manySessions struct{ collector }
+
+func (c *manySessions) SetReport(route.Service, api.NodeID, versionrollout.NodeReport) []uint64 {
+	sessions := make([]uint64, 20_000)
+	for i := range sessions {
+		sessions[i] = 1<<63 + uint64(i)
+	}
+	return sessions
+}
+
+// TestManySessionsOverSlowLink lets four nodes report to one with a link of 10 Mbit/s: each gets all sessions, although the responses together
+// take longer than a short call.
+func TestManySessionsOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const address = "10.0.0.1:80"
+		network := memnet.New()
+		network.LimitBandwidth("10.0.0.1", 10e6/8)
+		mux := http.NewServeMux()
+		rolloutrpc.Handle(mux, &manySessions{})
+		listener, err := network.Host("10.0.0.1").Listen(t.Context(), address)
+		qt.Assert(t, err, qt.IsNil)
+		server := &http.Server{Handler: mux}
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve(listener) })
+		for i := range 4 {
+			running.Go(func() {
+				transport := tcp.NewTransportWithoutKeepAlive(network.Host(fmt.Sprintf("10.0.0.%d", 2+i)))
+				report := versionrollout.NodeReport{Order: 12, Evidence: versionrollout.NewEvidence()}
+				got, err := rolloutrpc.Send(t.Context(), &http.Client{Transport: transport}, address, rolloutrpc.Report{Service: "models", Report: report})
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, got.Sessions, qt.HasLen, 20_000)
+			})
+		}
+		time.Sleep(5 * time.Second)
+		_ = server.Close()
+		running.Wait()
+	})
+}
+
 // TestRejectedReport checks that the error has the HTTP status of a node that rejects the report.
 func TestRejectedReport(t *testing.T) {
 	address := serve(t, http.NotFoundHandler())
