--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,8 @@
 	callerIP = "10.100.0.1"
 	// startTime is the time in which nodes read the store and find each other.
 	startTime = 3 * time.Second
+	// crashDowntime is how long a model server is down after a crash.
+	crashDowntime = 300 * time.Millisecond
 )
 
 // testFleet is a fake platform with two nodes, two model servers and one server for calls, in virtual time.
@@ -44,6 +47,8 @@
 	startedAt time.Time
 	// parts are the prompt parts of requests for streams.
 	parts string
+	// staysUp lets model servers break off only the connection of a request at which they would crash.
+	staysUp atomic.Bool
 	// requests counts the callers' requests; the count makes request IDs unique.
 	requests atomic.Int64
 }
@@ -82,22 +87,32 @@
 func withTestFleet(t *testing.T, test func(f *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &testFleet{c: qt.New(t), network: memnet.New(), store: platformfake.NewStore(), startedAt: time.Now(), parts: "aa:10,bb:20"}
+		var mu sync.Mutex
 		var servers []*http.Server
 		serve := func(ip string, handler http.Handler) {
 			listener, err := f.network.Host(ip).Listen(context.Background(), ip+":80")
-			f.c.Assert(err, qt.IsNil)
+			f.c.Check(err, qt.IsNil)
 			server := &http.Server{Handler: handler}
+			mu.Lock()
 			servers = append(servers, server)
+			mu.Unlock()
 			go func() { _ = server.Serve(listener) }()
 		}
 		serve(storeIP, f.store)
 		for i := range 2 {
-			server := platformfake.NewServer(platformfake.ServerOptions{
+			ip := fmt.Sprintf("10.1.0.%d", i+1)
+			var server *platformfake.Server
+			server = platformfake.NewServer(platformfake.ServerOptions{
 				ID: fmt.Sprintf("m%d", i), Latency: 50 * time.Millisecond, Pause: 100 * time.Millisecond, Events: 10, Confidence: 90,
-				DeadlyPart: "dead",
+				DeadlyPart: "dead", Crash: func() {
+					if f.staysUp.Load() {
+						return
+					}
+					f.network.Kill(ip)
+					time.AfterFunc(crashDowntime, func() { serve(ip, server) })
+				},
 			})
 			f.models = append(f.models, server)
-			ip := fmt.Sprintf("10.1.0.%d", i+1)
 			serve(ip, server)
 			f.store.Put(fmt.Sprintf("servers/m%d", i), entry("models", ip+":80", "ready"))
 		}
@@ -624,6 +639,7 @@
 		}
 		var late int
 		for i := range 40 {
+			time.Sleep(2 * crashDowntime)
 			f.parts = fmt.Sprintf("aa:10,dead:20,cc:30,own%d:5", i)
 			f.c.Check(f.send(context.Background(), i%2, "/s/1", "key-1").status, qt.Not(qt.Equals), http.StatusOK)
 			f.parts = fmt.Sprintf("aa:10,cc:30,own%d:5", i)
@@ -640,6 +656,22 @@
 	})
 }
 
+// TestBrokenConnectionsBlockNoPart breaks off each connection of requests with one part, while the servers go on accepting others, as when
+// something between nodes and servers resets connections: once that ends, requests with the part are served.
+func TestBrokenConnectionsBlockNoPart(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		f.staysUp.Store(true)
+		for i := range 20 {
+			f.parts = fmt.Sprintf("aa:10,dead:20,own%d:5", i)
+			f.c.Check(f.send(context.Background(), i%2, "/s/1", "key-1").status, qt.Not(qt.Equals), http.StatusOK)
+		}
+		server, end := f.replaceModelServers(platformfake.ServerOptions{Latency: time.Millisecond, Events: 3, Confidence: 90})
+		defer end()
+		f.c.Check(f.send(context.Background(), 0, "/s/1", "key-1").status, qt.Equals, http.StatusOK)
+		f.c.Check(server.Runs(), qt.HasLen, 1)
+	})
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -16,8 +16,9 @@
 	Latency, Pause time.Duration
 	// Events is the number of events of a stream; 0 makes the server answer calls instead.
 	Events int
-	// DeadlyPart is a part of prompts at which the server crashes when it would begin to answer; empty means none.
+	// DeadlyPart is a part of prompts at which the server crashes when it would begin to answer; empty means none. Crash is called then.
 	DeadlyPart string
+	Crash      func()
 	// Confidence is the value of the Confidence header in responses of the model "small".
 	Confidence int
 }
@@ -105,6 +106,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.opts.DeadlyPart != "" && strings.Contains(header.Get("Prompt-Prefix"), s.opts.DeadlyPart+":") {
+		s.opts.Crash()
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Signature", "signed."+s.opts.ID)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/crashes"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
@@ -50,11 +52,14 @@
 	return &rejection{status: http.StatusServiceUnavailable, reason: reasonCrashes, retryAfter: crashRetryAfter}
 }
 
-// countCrash counts a failed attempt if the server broke its connection off before the answer had begun. A server that stays silent may be
-// out of reach instead.
-func (d *dispatcher) countCrash(err error) {
+// countCrash counts a failed attempt if the server crashed before the answer had begun: it broke the connection off and refuses new ones. A
+// server that stays silent may be out of reach, and one that accepts connections has lost this one only.
+func (d *dispatcher) countCrash(ctx context.Context, server *backend.TrackedServer, err error) {
 	isBroken := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if isBroken && !tcp.IsErrNotSent(err) && !d.hasBegun {
+	if !isBroken || tcp.IsErrNotSent(err) || d.hasBegun {
+		return
+	}
+	if d.g.opts.Pool.IsRefused(ctx, server.Address) {
 		d.crashes++
 	}
 }
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -38,7 +38,7 @@
 			// The caller disconnected; this is no failure of the server.
 			return resultMayHaveRun
 		}
-		return d.attemptFailed(server, err, startedAt)
+		return d.attemptFailed(ctx, server, err, startedAt)
 	}
 	defer answer.Close()
 	headTimer.Stop()
@@ -69,9 +69,9 @@
 )
 
 // attemptFailed records an attempt that got no answer, and returns whether the request may have run.
-func (d *dispatcher) attemptFailed(server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
+func (d *dispatcher) attemptFailed(ctx context.Context, server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
 	server.RecordFailure(time.Now())
-	d.countCrash(err)
+	d.countCrash(ctx, server, err)
 	if tcp.IsErrNotSent(err) {
 		d.countAttempt(server, outcomeNotRun)
 	} else {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -127,5 +127,5 @@
 		d.failRequest(&rejection{status: http.StatusGatewayTimeout, reason: reasonDeadline})
 		return resultDone
 	}
-	return d.attemptFailed(server, upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: err}), startedAt)
+	return d.attemptFailed(ctx, server, upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: err}), startedAt)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -192,9 +192,9 @@
 		if d.route.Kind == route.KindStream {
 			return d.relay(ctx, server, answer, startedAt)
 		}
-		return d.forwardWhole(server, answer, startedAt)
+		return d.forwardWhole(ctx, server, answer, startedAt)
 	}
-	return d.handleErrorAnswer(server, answer, info, startedAt)
+	return d.handleErrorAnswer(ctx, server, answer, info, startedAt)
 }
 
 // failRequest ends a request for which there is no complete answer: it aborts an answer already begun, forwards the last error answer,
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,10 +27,10 @@
 }
 
 // forwardWhole reads an answer completely before it forwards it, so that a caller never gets a partial answer.
-func (d *dispatcher) forwardWhole(server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
+func (d *dispatcher) forwardWhole(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
 	read, err := readWhole(answer)
 	if err != nil {
-		return d.attemptFailed(server, err, startedAt)
+		return d.attemptFailed(ctx, server, err, startedAt)
 	}
 	server.RecordSuccess()
 	d.answerBegun()
@@ -42,13 +43,13 @@
 
 // handleErrorAnswer handles an answer with an error status. A server error is kept for failRequest if the request may be retried at
 // another server; any other error is forwarded.
-func (d *dispatcher) handleErrorAnswer(server *backend.TrackedServer, answer *upstream.Answer, info AnswerInfo, startedAt time.Time) attemptResult {
+func (d *dispatcher) handleErrorAnswer(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, info AnswerInfo, startedAt time.Time) attemptResult {
 	read, err := readWhole(answer)
 	if err != nil || !info.IsSigned {
 		if err == nil {
 			err = upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: &errUnsigned{status: answer.Status}})
 		}
-		return d.attemptFailed(server, err, startedAt)
+		return d.attemptFailed(ctx, server, err, startedAt)
 	}
 	isServerError := read.status >= http.StatusInternalServerError
 	d.observe(server, versionrollout.Outcome{IsFailure: isServerError})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
@@ -103,6 +105,18 @@
 	return &conn{Conn: opened, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
+// IsRefused reports whether the server refuses new connections, as after a crash of its process. A server that accepts them, or can't be
+// reached, does not.
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	opened, err := p.opts.Network.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = opened.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // headLimiter bounds the bytes read between begin and end. It is used by one goroutine.
 type headLimiter struct {
 	next io.Reader
