Serve changes to other nodes at once after a restore of the store (CONFIG)

What callers would see: in the two seconds after a restore, a change reaches the nodes that follow another one up to 1.7 s later than that one.

Cause: a mirror wakes its followers when its copy is confirmed, which is left out in that time. Found in the read-through.

Change: followers are woken after each update.

Evidence: TestChangesAfterRestoreAreServedAtOnce fails before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -189,15 +189,14 @@
 // a restored store.
 func (m *Mirror) confirm(at boottime.Time) {
 	m.mu.Lock()
-	if time.Now().Before(m.restoreEnds) {
-		m.mu.Unlock()
-		return
+	isComplete := !time.Now().Before(m.restoreEnds)
+	if isComplete {
+		m.confirmedAt = max(m.confirmedAt, at)
 	}
-	m.confirmedAt = max(m.confirmedAt, at)
 	close(m.updated)
 	m.updated = make(chan struct{})
 	m.mu.Unlock()
-	if m.opts.Confirmed != nil {
+	if isComplete && m.opts.Confirmed != nil {
 		m.opts.Confirmed(at)
 	}
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -240,6 +240,50 @@
 	})
 }
 
+// restore takes the store back to a copy without keys, in the next era.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pairs, s.events, s.revision = make(map[string]kv.Pair), nil, kv.NewVersion(s.revision.Era()+1, 5)
+}
+
+// TestChangesAfterRestoreAreServedAtOnce restores the store from an older copy: nodes that follow a mirror get the writes made in the two
+// seconds after, in which the copy isn't confirmed, without waiting.
+func TestChangesAfterRestoreAreServedAtOnce(t *testing.T) {
+	inBubble(t, func(s *fakeStore, m *mirror.Mirror, confirmationAge func() time.Duration) {
+		s.put("a")
+		time.Sleep(3 * time.Second)
+		s.fail(kv.Error.Wrap(&kv.ErrCompacted{}))
+		s.restore()
+		time.Sleep(time.Second)
+		s.fail(nil)
+		time.Sleep(500 * time.Millisecond)
+		listed, err := m.Listing()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, listed.Pairs, qt.HasLen, 0)
+		qt.Assert(t, listed.Revision.Era(), qt.Equals, kv.Era(1))
+		batches := make(chan kv.WatchBatch, 1)
+		go func() {
+			batch, _ := m.Changes(context.Background(), listed.Revision, 5*time.Second)
+			batches <- batch
+		}()
+		s.put("b")
+		for m.Get("b").Version == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		select {
+		case batch := <-batches:
+			qt.Check(t, batch.Events, qt.HasLen, 1)
+		default:
+			t.Error("change not served")
+		}
+		qt.Check(t, confirmationAge() > 1500*time.Millisecond, qt.IsTrue)
+		time.Sleep(4 * time.Second)
+		qt.Check(t, confirmationAge() < 3*time.Second, qt.IsTrue)
+	})
+}
+
 // follower serves a mirror as a Store, like a node that is an upstream.
 type follower struct{ *mirror.Mirror }
 
