Bound the crash reports of one suspect

An operator would see a node's memory grow with each report where a suspect isn't blocked for long, as when its requests are cleared again and again. Found in the read-through; TestReportsAreBounded fails before.

--- a/internal/crashes/tracker.go
+++ b/internal/crashes/tracker.go
@@ -32,6 +32,8 @@
 	// maxSuspects bounds the suspects, and maxCleared the begun answers, that are remembered. Above them, outdated ones are dropped first.
 	maxSuspects = 4000
 	maxCleared  = 4000
+	// maxReports bounds the reports of one suspect; as many show what further ones would.
+	maxReports = 64
 	// maxDue bounds the reports that Due returns at once.
 	maxDue = 16
 )
@@ -155,7 +157,11 @@
 		}
 		t.reports[report.Suspect] = make(map[api.RequestID]held)
 	}
-	t.reports[report.Suspect][report.Request] = held{Report: report, expires: now.Add(ReportTTL)}
+	reports := t.reports[report.Suspect]
+	if _, ok := reports[report.Request]; !ok && len(reports) >= maxReports {
+		return
+	}
+	reports[report.Request] = held{Report: report, expires: now.Add(ReportTTL)}
 }
 
 func (t *Tracker) dropExpired(now time.Time) {
--- a/internal/crashes/tracker_test.go
+++ b/internal/crashes/tracker_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// TestReportsAreBounded reports far more crashes than are needed: what a tracker holds of one suspect is bounded, and it stays blocked.
+func TestReportsAreBounded(t *testing.T) {
+	tracker := newTracker()
+	for i := range 1000 {
+		tracker.Add(crashes.Report{Suspect: "part/models/a", Request: api.RequestID(fmt.Sprint(i)), Crashes: 1}, start)
+	}
+	qt.Check(t, verdict(tracker, start, parts("a")...), qt.Equals, crashes.Blocked)
+	tracker.Begun(parts("a"), start)
+	cleared := 0
+	for due := tracker.Due(); len(due) > 0; due = tracker.Due() {
+		cleared += len(due)
+	}
+	qt.Check(t, cleared < 100, qt.IsTrue, qt.Commentf("%d reports", cleared))
+}
+
 // TestRepeatedRequestIsBlocked sends a request without shared parts again after it crashed servers: three crashes block it.
 func TestRepeatedRequestIsBlocked(t *testing.T) {
 	tracker := newTracker()
