--- a/internal/rolloutrpc/rolloutrpc_test.go
+++ b/internal/rolloutrpc/rolloutrpc_test.go
@@ -58,9 +58,9 @@
 }
 
 // manySessions returns as many sessions as a node remembers.
-type manySessions struct{ collector }
+type manySessions struct{}
 
-func (c *manySessions) SetReport(route.Service, api.NodeID, versionrollout.NodeReport) []uint64 {
+func (manySessions) SetReport(route.Service, api.NodeID, versionrollout.NodeReport) []uint64 {
 	sessions := make([]uint64, 20_000)
 	for i := range sessions {
 		sessions[i] = 1<<63 + uint64(i)
@@ -76,7 +76,7 @@
 		network := memnet.New()
 		network.LimitBandwidth("10.0.0.1", 10e6/8)
 		mux := http.NewServeMux()
-		rolloutrpc.Handle(mux, &manySessions{})
+		rolloutrpc.Handle(mux, manySessions{})
 		listener, err := network.Host("10.0.0.1").Listen(t.Context(), address)
 		qt.Assert(t, err, qt.IsNil)
 		server := &http.Server{Handler: mux}
