--- a/internal/crashes/tracker_test.go
+++ b/internal/crashes/tracker_test.go
@@ -37,13 +37,13 @@
 func TestPartIsBlockedAfterTwoRequests(t *testing.T) {
 	tracker := newTracker()
 	tracker.Begun(parts("common"), start)
-	tracker.Crashed("r1", parts("common", "deadly", "a"), 2, start.Add(time.Second))
-	qt.Check(t, verdict(tracker, start.Add(time.Second), parts("deadly")...), qt.Equals, crashes.Allowed)
-	tracker.Crashed("r2", parts("common", "deadly", "b"), 2, start.Add(time.Second))
+	tracker.Crashed("r1", parts("common", "crashing", "a"), 2, start.Add(time.Second))
+	qt.Check(t, verdict(tracker, start.Add(time.Second), parts("crashing")...), qt.Equals, crashes.Allowed)
+	tracker.Crashed("r2", parts("common", "crashing", "b"), 2, start.Add(time.Second))
 	now := start.Add(2 * time.Second)
-	qt.Check(t, verdict(tracker, now, parts("deadly")...), qt.Equals, crashes.Blocked)
+	qt.Check(t, verdict(tracker, now, parts("crashing")...), qt.Equals, crashes.Blocked)
 	qt.Check(t, verdict(tracker, now, parts("common", "a", "c")...), qt.Equals, crashes.Allowed)
-	qt.Check(t, verdict(tracker, now.Add(crashes.ReportTTL), parts("deadly")...), qt.Equals, crashes.Allowed)
+	qt.Check(t, verdict(tracker, now.Add(crashes.ReportTTL), parts("crashing")...), qt.Equals, crashes.Allowed)
 }
 
 // TestAnswerClearsPart answers a request with a blocked part: the part is cleared on this node and, by the reports, on others.
@@ -72,20 +72,20 @@
 // TestProbeTellsPartsApart lets two parts crash servers always together. A request with one of them is sent as a probe, not two at once, and
 // its outcome shows which one is the cause.
 func TestProbeTellsPartsApart(t *testing.T) {
-	for _, isDeadly := range []bool{false, true} {
+	for _, isCrashing := range []bool{false, true} {
 		tracker := newTracker()
 		tracker.Crashed("r1", parts("a", "b"), 2, start)
 		tracker.Crashed("r2", parts("a", "b"), 2, start)
 		qt.Check(t, verdict(tracker, start, parts("a", "b")...), qt.Equals, crashes.Blocked)
 		qt.Check(t, verdict(tracker, start, parts("a")...), qt.Equals, crashes.Probe)
 		qt.Check(t, verdict(tracker, start, parts("a")...), qt.Equals, crashes.Blocked)
-		if isDeadly {
+		if isCrashing {
 			tracker.Crashed("r3", parts("a"), 1, start)
 		} else {
 			tracker.Begun(parts("a"), start)
 		}
 		wantA, wantB := crashes.Allowed, crashes.Blocked
-		if isDeadly {
+		if isCrashing {
 			wantA, wantB = wantB, wantA
 		}
 		qt.Check(t, verdict(tracker, start, parts("a")...), qt.Equals, wantA)
@@ -121,10 +121,10 @@
 	qt.Check(t, verdict(tracker, start, crashes.WholeRequest("calls", "school", "POST", "/c/1", nil, []byte("other"))), qt.Equals, crashes.Allowed)
 }
 
-// TestDeadlyPartReachesFewServers draws requests with one deadly part and any other parts, sent through several nodes that share their reports
+// TestCrashingPartReachesFewServers draws requests with one part that crashes servers and any other parts, sent through several nodes that share their reports
 // after a delay: once all reports are shared, at most three more requests with that part reach servers, and parts that only sound requests
 // have are never blocked.
-func TestDeadlyPartReachesFewServers(t *testing.T) {
+func TestCrashingPartReachesFewServers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		nodes := make([]*crashes.Tracker, rapid.IntRange(1, 8).Draw(rt, "nodes"))
 		for i := range nodes {
@@ -140,14 +140,14 @@
 			id := api.RequestID(fmt.Sprint(i))
 			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(rt, "node")]
 			has := parts("first", fmt.Sprint(rapid.IntRange(0, others-1).Draw(rt, "other")))
-			isDeadly := rapid.Bool().Draw(rt, "isDeadly")
-			if isDeadly {
-				has = append(has, parts("deadly")...)
+			isCrashing := rapid.Bool().Draw(rt, "isCrashing")
+			if isCrashing {
+				has = append(has, parts("crashing")...)
 			}
 			v, _ := node.Check(has, now)
 			switch {
 			case v == crashes.Blocked:
-			case !isDeadly:
+			case !isCrashing:
 				node.Begun(has, now)
 			default:
 				servers := crashes.MaxPerRequest
@@ -172,7 +172,7 @@
 			}
 		}
 		if late > 3 {
-			rt.Fatalf("%d of %d deadly requests reached servers later than 3 s after the fifth crash", late, total)
+			rt.Fatalf("%d of %d crashing requests reached servers later than 3 s after the fifth crash", late, total)
 		}
 		v, _ := nodes[0].Check(parts("only-sound"), now)
 		if v != crashes.Allowed {
--- a/internal/crashes/verdict.go
+++ b/internal/crashes/verdict.go
@@ -26,10 +26,10 @@
 		if !t.isCondemned(suspect, now) {
 			continue
 		}
-		switch rival := t.findRival(suspect, suspects, now); {
-		case rival == noRival:
+		switch found := t.findAlternative(suspect, suspects, now); {
+		case found == noAlternative:
 			return Blocked, suspect
-		case rival == strongerRival:
+		case found == strongerAlternative:
 			continue
 		case verdict == Allowed:
 			verdict, decisive = Probe, suspect
@@ -53,32 +53,32 @@
 // counts reports whether a report is in force.
 func (h held) counts(now time.Time) bool { return !h.IsCleared && now.Before(h.expires) }
 
-// rival says whether another part explains all crashes of a suspect as well.
-type rival int
+// alternative says whether another part explains all crashes of a suspect as well.
+type alternative int
 
 const (
-	noRival rival = iota
-	// equalRival is a part of exactly the same requests.
-	equalRival
-	// strongerRival is a part of further requests that crashed servers too.
-	strongerRival
+	noAlternative alternative = iota
+	// equalAlternative is a part of exactly the same requests.
+	equalAlternative
+	// strongerAlternative is a part of further requests that crashed servers too.
+	strongerAlternative
 )
 
-// findRival returns the strongest rival of a part among those that the request doesn't have; t.mu is held.
-func (t *Tracker) findRival(suspect Suspect, present []Suspect, now time.Time) rival {
+// findAlternative returns the strongest alternative to a part among those that the request doesn't have; t.mu is held.
+func (t *Tracker) findAlternative(suspect Suspect, present []Suspect, now time.Time) alternative {
 	if suspect.isWholeRequest() {
-		return noRival
+		return noAlternative
 	}
-	found := noRival
+	found := noAlternative
 	requests, _ := t.countReports(suspect, now)
 	for other := range t.reports {
 		if other.isWholeRequest() || slices.Contains(present, other) || !t.explains(other, suspect, now) {
 			continue
 		}
 		if theirs, _ := t.countReports(other, now); theirs > requests {
-			return strongerRival
+			return strongerAlternative
 		}
-		found = equalRival
+		found = equalAlternative
 	}
 	return found
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -104,7 +104,7 @@
 			var server *platformfake.Server
 			server = platformfake.NewServer(platformfake.ServerOptions{
 				ID: fmt.Sprintf("m%d", i), Latency: 50 * time.Millisecond, Pause: 100 * time.Millisecond, Events: 10, Confidence: 90,
-				DeadlyPart: "dead", Crash: func() {
+				CrashingPart: "bad", Crash: func() {
 					if f.staysUp.Load() {
 						return
 					}
@@ -631,7 +631,7 @@
 	withTestFleet(t, func(f *testFleet) {
 		reached := func() (count int) {
 			for _, run := range f.executedRuns() {
-				if strings.Contains(run.Parts, "dead:") {
+				if strings.Contains(run.Parts, "bad:") {
 					count++
 				}
 			}
@@ -640,7 +640,7 @@
 		var late int
 		for i := range 40 {
 			time.Sleep(2 * crashDowntime)
-			f.parts = fmt.Sprintf("aa:10,dead:20,cc:30,own%d:5", i)
+			f.parts = fmt.Sprintf("aa:10,bad:20,cc:30,own%d:5", i)
 			f.c.Check(f.send(context.Background(), i%2, "/s/1", "key-1").status, qt.Not(qt.Equals), http.StatusOK)
 			f.parts = fmt.Sprintf("aa:10,cc:30,own%d:5", i)
 			got := f.send(context.Background(), i%2, "/s/1", "key-1")
@@ -662,7 +662,7 @@
 	withTestFleet(t, func(f *testFleet) {
 		f.staysUp.Store(true)
 		for i := range 20 {
-			f.parts = fmt.Sprintf("aa:10,dead:20,own%d:5", i)
+			f.parts = fmt.Sprintf("aa:10,bad:20,own%d:5", i)
 			f.c.Check(f.send(context.Background(), i%2, "/s/1", "key-1").status, qt.Not(qt.Equals), http.StatusOK)
 		}
 		server, end := f.replaceModelServers(platformfake.ServerOptions{Latency: time.Millisecond, Events: 3, Confidence: 90})
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -16,9 +16,9 @@
 	Latency, Pause time.Duration
 	// Events is the number of events of a stream; 0 makes the server answer calls instead.
 	Events int
-	// DeadlyPart is a part of prompts at which the server crashes when it would begin to answer; empty means none. Crash is called then.
-	DeadlyPart string
-	Crash      func()
+	// CrashingPart is a part of prompts at which the server crashes when it would begin to answer; empty means none. Crash is called then.
+	CrashingPart string
+	Crash        func()
 	// Confidence is the value of the Confidence header in responses of the model "small".
 	Confidence int
 }
@@ -105,7 +105,7 @@
 	if !wait(req, s.opts.Latency) {
 		panic(http.ErrAbortHandler)
 	}
-	if s.opts.DeadlyPart != "" && strings.Contains(header.Get("Prompt-Prefix"), s.opts.DeadlyPart+":") {
+	if s.opts.CrashingPart != "" && strings.Contains(header.Get("Prompt-Prefix"), s.opts.CrashingPart+":") {
 		s.opts.Crash()
 		panic(http.ErrAbortHandler)
 	}
