Draw the same traces on processors with a fused multiply-add

Cause: the compiler may fuse x*y+z into one operation, which rounds once; arm64 has it, amd64 as we build it has not. Ruled out: the random source and math functions (with -gcflags=all=-d=fmahash=n all three pass). Change: the generator converts its products explicitly, which the language specification keeps from being fused. Both tests pass on arm64 with the recorded files unchanged.

--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -56,6 +56,8 @@
 	left   int
 }
 
+// generator draws the entries of a trace. It converts products explicitly before it adds to them, since processors with a fused multiply-add
+// would round differently and draw another trace from the same seed.
 type generator struct {
 	shape Deployment
 	rng   *rand.Rand
@@ -81,7 +83,7 @@
 		if k > 0 {
 			from = g.shape.Phases[k-1].Until
 		}
-		at := from + g.rng.Float64()*(g.shape.Phases[k].Until-from)
+		at := from + float64(g.rng.Float64()*(g.shape.Phases[k].Until-from))
 		times[i] = time.Duration(at * float64(g.span)).Round(time.Millisecond)
 	}
 	slices.Sort(times)
@@ -114,7 +116,7 @@
 	entry := Entry{
 		At: at, Kind: KindChat, Team: team.Name, Service: g.shape.Engine, Class: class.Name,
 		AnswerTokens: g.tokens(class.Answer), Stream: class.Stream && !isBatch,
-		Difficulty: class.Easiest + g.rng.Float64()*(class.Hardest-class.Easiest),
+		Difficulty: class.Easiest + float64(g.rng.Float64()*(class.Hardest-class.Easiest)),
 		Priority:   class.Priority, Deadline: class.Deadline,
 	}
 	if isBatch {
@@ -152,7 +154,7 @@
 			name:   fmt.Sprintf("s%d", g.sessions),
 			prefix: fmt.Sprintf("%s/%s/%d", team.Name, class.Name, k),
 			tokens: class.Prefix.Least + api.Tokens(k*37)%(class.Prefix.Most-class.Prefix.Least),
-			left:   1 + int(g.rng.ExpFloat64()*(class.Turns-1)+0.5),
+			left:   1 + int(float64(g.rng.ExpFloat64()*(class.Turns-1))+0.5),
 		}
 		g.open[key] = s
 	}
