Take a rounding residue of a fitted line's intercept for 0

TestPageShowsTheFigures was red on arm64: an intercept of 2.78e-17 on the page is 1.69e-17 there, the residue of a line through proportional values. A residue below 1e-12 of the largest value is now 0 on every processor; TestFitLineHasNoRoundingResidue got 2.66e-17 before.

--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -39,6 +39,12 @@
 	qt.Assert(t, s.Fits(), qt.IsFalse)
 }
 
+// TestFitLineHasNoRoundingResidue fits proportional values: the intercept must be exactly 0 on every processor.
+func TestFitLineHasNoRoundingResidue(t *testing.T) {
+	points := []capacity.Point{{X: 5000, Y: 0.0579}, {X: 10000, Y: 0.1158}, {X: 20000, Y: 0.2316}, {X: 40000, Y: 0.4632}}
+	qt.Assert(t, capacity.FitLine(points).Intercept, qt.Equals, 0.0)
+}
+
 func TestReplaceTable(t *testing.T) {
 	role := capacity.Role{Name: "r", Command: "c"}
 	made, ok := capacity.ReplaceTable("a\n<!-- begin r -->\nold\n<!-- end r -->\nb\n", role)
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -2,7 +2,12 @@
 // machine. The measurements are tests, since they run whole clusters in virtual time; see `make capacity`.
 package capacity
 
-import "gonum.org/v1/gonum/stat"
+import (
+	"math"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/stat"
+)
 
 // Point is one measurement: Y was seen at X.
 type Point struct{ X, Y float64 }
@@ -17,6 +22,9 @@
 // At returns the line's value at x.
 func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
 
+// roundingShare is the share of the largest value below which an intercept is a rounding error, which differs between processors.
+const roundingShare = 1e-12
+
 // FitLine returns the line of least squares through at least two points of unlike X.
 func FitLine(points []Point) Fit {
 	xs, ys := make([]float64, len(points)), make([]float64, len(points))
@@ -24,6 +32,9 @@
 		xs[i], ys[i] = p.X, p.Y
 	}
 	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
+	if math.Abs(intercept) < roundingShare*floats.Norm(ys, math.Inf(1)) {
+		intercept = 0
+	}
 	fit := Fit{Intercept: intercept, Slope: slope, RSquared: 1}
 	if stat.Variance(ys, nil) > 0 {
 		fit.RSquared = stat.RSquared(xs, ys, nil, intercept, slope)
