--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -464,6 +464,8 @@
 			`monsoonrail_gateway_offers{service="calls",version="v1",outcome="server's failure"} 1`,
 			`monsoonrail_gateway_request_microseconds_count{route="stream"} 1`,
 			`monsoonrail_gateway_first_event_microseconds_count{route="stream"} 1`,
+			`monsoonrail_gateway_answer_ends{service="models",framing="chunked",verdict="complete"} 1`,
+			`monsoonrail_gateway_answer_ends{service="calls",framing="length",verdict="complete"} 1`,
 			`monsoonrail_edge_servers 3`,
 			`monsoonrail_edge_nodes 2`,
 		} {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	metricTeamRequests = "monsoonrail_gateway_team_requests"
 	metricRejected     = "monsoonrail_gateway_refused"
 	metricAttempts     = "monsoonrail_gateway_offers"
+	metricAnswerEnds   = "monsoonrail_gateway_answer_ends"
 	metricEscalations  = "monsoonrail_gateway_escalations"
 )
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 )
@@ -25,6 +26,7 @@
 	events := upstream.NewEventReader(answer.Body)
 	control := http.NewResponseController(d.w)
 	eventsBefore := d.eventsSent
+	eventsRead := 0
 	isProgress := true
 	for {
 		// Only an event with an id is progress: a server in trouble may send other bytes without end.
@@ -36,7 +38,12 @@
 		event, err := events.Next()
 		isProgress = event.ID != ""
 		isEnd := errors.Is(err, io.EOF)
-		if isEnd && len(event.Raw) > 0 && !answer.IsDelimited() {
+		if err != nil {
+			d.recordEnd(server, streamEnd(answer, eventsRead, event, err))
+		} else {
+			eventsRead++
+		}
+		if isEnd && len(event.Raw) > 0 && answer.Framing() == framing.Close {
 			// A stream that ends with its connection, and within an event, was broken off.
 			err, isEnd = io.ErrUnexpectedEOF, false
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -181,6 +181,10 @@
 	if answer.Status < http.StatusMultipleChoices {
 		if !info.IsSigned {
 			server.RecordFailure(now)
+			d.countAttempt(server, outcomeLost)
+			d.g.opts.Log.WithFields(log.Fields{
+				"request": string(d.ID), "server": string(server.ID), "offer": d.attempts, "status": answer.Status,
+			}).Info("unsigned answer discarded")
 			return resultMayHaveRun
 		}
 		d.observeFirstEvent(server, time.Since(startedAt))
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 )
@@ -28,7 +29,7 @@
 
 // forwardWhole reads an answer completely before it forwards it, so that a caller never gets a partial answer.
 func (d *dispatcher) forwardWhole(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
-	read, err := readWhole(answer)
+	read, err := d.readWhole(server, answer)
 	if err != nil {
 		return d.attemptFailed(ctx, server, err, startedAt)
 	}
@@ -44,7 +45,7 @@
 // handleErrorAnswer handles an answer with an error status. A server error is kept for failRequest if the request may be retried at
 // another server; any other error is forwarded.
 func (d *dispatcher) handleErrorAnswer(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, info AnswerInfo, startedAt time.Time) attemptResult {
-	read, err := readWhole(answer)
+	read, err := d.readWhole(server, answer)
 	if err != nil || !info.IsSigned {
 		if err == nil {
 			err = upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: &errUnsigned{status: answer.Status}})
@@ -64,6 +65,8 @@
 	if !d.isHeadSent {
 		d.sendWhole(read)
 		d.finish("request answered", "server's failure")
+	} else {
+		d.finish("stream broken off", "server's failure")
 	}
 	return resultDone
 }
@@ -73,8 +76,9 @@
 
 func (e *errUnsigned) Error() string { return "unsigned answer with status " + strconv.Itoa(e.status) }
 
-func readWhole(answer *upstream.Answer) (*wholeAnswer, error) {
+func (d *dispatcher) readWhole(server *backend.TrackedServer, answer *upstream.Answer) (*wholeAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
+	d.recordEnd(server, framing.End{Framing: answer.Framing(), Place: framing.NotEvents, Cause: endCause(err)})
 	if err != nil {
 		return nil, upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: err})
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
@@ -145,10 +146,16 @@
 // SetReadDeadline sets the deadline for reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
-// IsDelimited reports whether the body has a length or comes in chunks, so that its end shows that it is complete. Otherwise it ends with the
-// connection.
-func (a *Answer) IsDelimited() bool {
-	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+// Framing returns how the body shows where it ends.
+func (a *Answer) Framing() framing.Framing {
+	switch {
+	case len(a.resp.TransferEncoding) > 0:
+		return framing.Chunked
+	case a.resp.ContentLength >= 0 || a.resp.Body == http.NoBody:
+		return framing.Length
+	default:
+		return framing.Close
+	}
 }
 
 // Close returns the connection to the pool if the complete answer was read and the server keeps the connection open, and closes it
@@ -160,7 +167,7 @@
 	c := a.conn
 	a.conn = nil
 	isOpen := a.stopWatch()
-	if !isOpen || !a.isComplete || a.resp.Close || !a.IsDelimited() || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+	if !isOpen || !a.isComplete || a.resp.Close || a.Framing() == framing.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
