--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -62,12 +62,12 @@
 		d.lastErrorAnswer = read
 		return resultMayHaveRun
 	}
-	if !d.isHeadSent {
-		d.sendWhole(read)
-		d.finish("request answered", "server's failure")
-	} else {
-		d.finish("stream broken off", "server's failure")
+	if d.isHeadSent {
+		d.failRequest(&rejection{status: http.StatusBadGateway, reason: reasonServerFailure})
+		return resultDone
 	}
+	d.sendWhole(read)
+	d.finish("request answered", reasonServerFailure)
 	return resultDone
 }
 
