Take a stream that ends within an event, or empty with its connection, for broken (ORDER)

Callers saw a part of an event and a proper end where a server's own framing ended within an event, and an empty success where a stream without length and chunks ended with its connection before the first event. Cause: any end of the body counted as the end of the answer, but for one special case (close, within event). Now the verdict of internal/framing decides: a stream whose bytes don't show an end at an event is resumed, or broken off.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,39 +36,47 @@
 			}
 		}
 		event, err := events.Next()
-		isProgress = event.ID != ""
-		isEnd := errors.Is(err, io.EOF)
 		if err != nil {
-			d.recordEnd(server, streamEnd(answer, eventsRead, event, err))
-		} else {
-			eventsRead++
-		}
-		if isEnd && len(event.Raw) > 0 && answer.Framing() == framing.Close {
-			// A stream that ends with its connection, and within an event, was broken off.
-			err, isEnd = io.ErrUnexpectedEOF, false
-		}
-		if err != nil && !isEnd {
-			return d.streamFailed(ctx, server, err, startedAt)
-		}
-		if len(event.Raw) > 0 && !d.wasSent(event.ID) {
-			if !d.writeEvent(control, answer, event, !events.HasBuffered() || isEnd) {
-				d.finish("caller left", "")
-				return resultDone
+			end := streamEnd(answer, eventsRead, event, err)
+			d.recordEnd(server, end)
+			if end.Verdict() == framing.Broken {
+				return d.streamFailed(ctx, server, brokenOff(err), startedAt)
 			}
+			d.streamEnded(server, answer, d.pace(startedAt, eventsBefore))
+			return resultDone
 		}
-		pace := versionrollout.Pace(time.Since(startedAt), d.PromptTokens, d.eventsSent-eventsBefore)
-		if isEnd {
-			d.sendHead(answer)
-			server.RecordSuccess()
-			if !d.isAnswerSlow {
-				d.observe(server, versionrollout.Outcome{Pace: pace})
-			}
-			d.countAttempt(server, outcomeAnswered)
-			d.finish("request answered", "")
+		eventsRead++
+		isProgress = event.ID != ""
+		if !d.wasSent(event.ID) && !d.writeEvent(control, answer, event, !events.HasBuffered()) {
+			d.finish("caller left", "")
 			return resultDone
 		}
-		d.watchPace(server, pace, d.eventsSent-eventsBefore)
+		d.watchPace(server, d.pace(startedAt, eventsBefore), d.eventsSent-eventsBefore)
+	}
+}
+
+// pace returns the pace of the current attempt. eventsBefore is the number of events that earlier attempts had sent.
+func (d *dispatcher) pace(startedAt time.Time, eventsBefore int) float64 {
+	return versionrollout.Pace(time.Since(startedAt), d.PromptTokens, d.eventsSent-eventsBefore)
+}
+
+// brokenOff returns the error of an answer that was broken off, whose last read returned err.
+func brokenOff(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// streamEnded ends the answer to the caller after the last event.
+func (d *dispatcher) streamEnded(server *backend.TrackedServer, answer *upstream.Answer, pace float64) {
+	d.sendHead(answer)
+	server.RecordSuccess()
+	if !d.isAnswerSlow {
+		d.observe(server, versionrollout.Outcome{Pace: pace})
 	}
+	d.countAttempt(server, outcomeAnswered)
+	d.finish("request answered", "")
 }
 
 // silenceDeadline returns the time at which a stream without further events counts as broken. If no other server may resume the stream,
