Deliver events at once that arrive with a part of the next one

Callers got an event only once the next one was complete, if a part of that one had arrived with it, and never if the stream was then broken off: the answer closed without a byte. Cause: events were flushed only when nothing was buffered. Now only a complete buffered event defers the flush.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -47,7 +47,7 @@
 		}
 		eventsRead++
 		isProgress = event.ID != ""
-		if !d.wasSent(event.ID) && !d.writeEvent(control, answer, event, !events.HasBuffered()) {
+		if !d.wasSent(event.ID) && !d.writeEvent(control, answer, event, !events.HasBufferedEvent()) {
 			d.finish("caller left", "")
 			return resultDone
 		}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -31,8 +31,12 @@
 	return &EventReader{in: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
-// HasBuffered reports whether more bytes are buffered.
-func (r *EventReader) HasBuffered() bool { return r.in.Buffered() > 0 }
+// HasBufferedEvent reports whether the buffer holds another complete event, so that Next returns without waiting.
+func (r *EventReader) HasBufferedEvent() bool {
+	// Peek of the buffered bytes doesn't read and can't fail.
+	buffered, _ := r.in.Peek(r.in.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // Next returns the next complete event. At the end of the stream it returns io.EOF, with the bytes of an incomplete last event in Raw.
 // It returns ErrEventTooLarge for more than maxEventBytes without an event that has an id.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -278,3 +278,23 @@
 	c.text = c.text[n:]
 	return n, nil
 }
+
+// TestPartOfAnEventIsNoBufferedEvent reads an event that arrived with a part of the next one: it must be flushed, not held until the rest comes.
+func TestPartOfAnEventIsNoBufferedEvent(t *testing.T) {
+	for _, test := range []struct {
+		rest string
+		want bool
+	}{
+		{"", false},
+		{"id: 2\nda", false},
+		{"id: 2\ndata: x\n", false},
+		{"id: 2\ndata: x\n\n", true},
+		{"id: 2\r\ndata: x\r\n\r\nid", true},
+	} {
+		events := upstream.NewEventReader(strings.NewReader("id: 1\ndata: x\n\n" + test.rest))
+		event, err := events.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, event.ID, qt.Equals, "1")
+		qt.Check(t, events.HasBufferedEvent(), qt.Equals, test.want, qt.Commentf("%q", test.rest))
+	}
+}
