--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -1,9 +1,12 @@
 package edge_test
 
 import (
+	"bufio"
 	"context"
 	"flag"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -224,3 +227,32 @@
 		}
 	}))
 }
+
+// rawRequest is a request for a stream, as bytes.
+const rawRequest = "POST /s/1 HTTP/1.%d\r\nHost: app.example\r\nAttempt-Id: raw\r\nDeadline-Ms: 10000\r\nKey: key-1\r\nModel: small\r\n" +
+	"Token-Usage: 30,100\r\nContent-Length: 0\r\n\r\n"
+
+// dialNode opens a connection to the first node and sends rawRequest over it.
+func (f *testFleet) dialNode(minorVersion int) net.Conn {
+	conn, err := f.network.Host(callerIP).DialContext(context.Background(), "tcp", f.nodes[0].ip+":80")
+	f.c.Assert(err, qt.IsNil)
+	_, err = fmt.Fprintf(conn, rawRequest, minorVersion)
+	f.c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// TestAbandonedStreamIsNotEndedProperly closes a caller's sending direction within a stream, which counts as a caller that has left: what it
+// still reads must not look complete.
+func TestAbandonedStreamIsNotEndedProperly(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		conn := f.dialNode(1)
+		time.Sleep(300 * time.Millisecond)
+		f.c.Assert(conn.(interface{ CloseWrite() error }).CloseWrite(), qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		f.c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(resp.Body)
+		f.c.Check(err, qt.IsNotNil)
+		f.c.Check(len(body) > 0 && len(body) < len(platformfake.Stream("/s/1", streamEvents)), qt.IsTrue)
+		f.c.Assert(conn.Close(), qt.IsNil)
+	})
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,8 +48,7 @@
 		eventsRead++
 		isProgress = event.ID != ""
 		if !d.wasSent(event.ID) && !d.writeEvent(control, answer, event, !events.HasBufferedEvent()) {
-			d.finish("caller left", "")
-			return resultDone
+			d.abandon()
 		}
 		d.watchPace(server, d.pace(startedAt, eventsBefore), d.eventsSent-eventsBefore)
 	}
@@ -134,8 +133,7 @@
 // streamFailed handles a stream that broke off, paused for too long or reached the deadline.
 func (d *dispatcher) streamFailed(ctx context.Context, server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
 	if ctx.Err() != nil && time.Now().Before(d.deadline) {
-		d.finish("caller left", "")
-		return resultDone
+		d.abandon()
 	}
 	if !time.Now().Before(d.deadline) {
 		d.possibleRuns++
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -95,7 +95,7 @@
 type attemptResult int
 
 const (
-	// resultDone means that the request is finished or that the caller has disconnected.
+	// resultDone means that the request is finished.
 	resultDone attemptResult = iota
 	// resultNotRun means that the server did not run the request.
 	resultNotRun
@@ -112,8 +112,7 @@
 	isRetry := false
 	for {
 		if errors.Is(ctx.Err(), context.Canceled) {
-			d.finish("caller left", "")
-			panic(http.ErrAbortHandler)
+			d.abandon()
 		}
 		if rejection := d.checkAttempt(ctx, isRetry); rejection != nil {
 			d.failRequest(rejection)
@@ -201,6 +200,13 @@
 	return d.handleErrorAnswer(ctx, server, answer, info, startedAt)
 }
 
+// abandon ends a request whose caller has left. It aborts the connection, over which the caller may still read: returning would end the
+// answer properly.
+func (d *dispatcher) abandon() {
+	d.finish("caller left", "")
+	panic(http.ErrAbortHandler)
+}
+
 // failRequest ends a request for which there is no complete answer: it aborts an answer already begun, forwards the last error answer,
 // or sends the rejection.
 func (d *dispatcher) failRequest(failure *rejection) {
