--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -256,3 +256,41 @@
 		f.c.Assert(conn.Close(), qt.IsNil)
 	})
 }
+
+// TestResumedStreamWithoutFraming resumes a stream in chunks at a server whose answer ends with its connection: a third server has to confirm
+// the end, since the last chunk would claim that the stream is complete.
+func TestResumedStreamWithoutFraming(t *testing.T) {
+	begun := platformfake.Script{Status: http.StatusOK, Framing: framing.Chunked, Events: 3}
+	withTestFleet(t, func(f *testFleet) {
+		for _, test := range []struct {
+			name   string
+			events int
+			third  []platformfake.Script
+			want   string
+		}{
+			{"confirmed", streamEvents - 3, nil, "whole"},
+			{"more events", 2, nil, "whole"},
+			{"not confirmed", streamEvents - 3, []platformfake.Script{{Status: http.StatusNotFound, IsFramedEnd: true}}, "cut"},
+		} {
+			resumed := platformfake.Script{Status: http.StatusOK, Framing: framing.Close, Events: test.events}
+			f.setScript(append([]platformfake.Script{begun, resumed}, test.third...)...)
+			got := f.send(context.Background(), 0, "/s/1", "key-1")
+			f.c.Check(outcome(f.c, got, platformfake.Stream("/s/1", streamEvents)), qt.Equals, test.want, qt.Commentf(test.name))
+			time.Sleep(recoveryTime)
+		}
+	})
+}
+
+// TestUnframedStreamsAreConfirmedOnce lets all servers send streams without framing: one further server is asked whether a stream is complete,
+// not as many as the route allows.
+func TestUnframedStreamsAreConfirmedOnce(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		end := platformfake.Script{Status: http.StatusOK, Framing: framing.Close}
+		all := end
+		all.Events = streamEvents
+		f.setScript(all, end, end)
+		got := f.send(context.Background(), 0, "/s/1", "key-1")
+		f.c.Check(outcome(f.c, got, platformfake.Stream("/s/1", streamEvents)), qt.Equals, "whole, open")
+		f.c.Check(f.executedRuns(), qt.HasLen, 2)
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -251,7 +251,8 @@
 		}
 		servers = append(servers, &httpServer{name: s.name, listener: listener, server: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: eventlog.StandardLogger(n.log.WithField("server", s.name), "connection failed"),
+			ErrorLog:    eventlog.StandardLogger(n.log.WithField("server", s.name), "connection failed"),
+			ConnContext: gateway.ConnContext,
 		}})
 	}
 	return servers, nil
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -13,13 +13,13 @@
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 )
 
-// streamEnd describes the end of a stream. eventsRead counts the events read in this attempt, and event is the one that err ended.
-func streamEnd(answer *upstream.Answer, eventsRead int, event upstream.Event, err error) framing.End {
+// streamEnd describes the end of a server's stream. event is the one at which reading failed with err.
+func (d *dispatcher) streamEnd(answer *upstream.Answer, event upstream.Event, err error) framing.End {
 	place := framing.AfterEvent
 	switch {
 	case len(event.Raw) > 0:
 		place = framing.WithinEvent
-	case eventsRead == 0:
+	case d.eventsSent == 0 && d.lastEventID == "":
 		place = framing.BeforeFirstEvent
 	}
 	return framing.End{Framing: answer.Framing(), Place: place, Cause: endCause(err)}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, admitted.deadline)
 	defer cancel()
-	newDispatcher(g, admitted, w).serve(ctx)
+	newDispatcher(g, admitted, newCallerAnswer(w, req)).serve(ctx)
 }
 
 // waitForTable returns the configuration in force. A node that has just started waits for it up to initialConfigTimeout, which takes
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,10 +22,11 @@
 
 // Values of the outcome label of metricAttempts.
 const (
-	outcomeAnswered = "answered"
-	outcomeFailed   = "server's failure"
-	outcomeLost     = "answer lost"
-	outcomeNotRun   = "not run"
+	outcomeAnswered    = "answered"
+	outcomeUnconfirmed = "end not confirmed"
+	outcomeFailed      = "server's failure"
+	outcomeLost        = "answer lost"
+	outcomeNotRun      = "not run"
 )
 
 // finish logs and counts the outcome of a request.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -22,6 +22,7 @@
 	reasonBudget             = "retry budget used up"
 	reasonAttempts           = "attempts used up"
 	reasonDeadline           = "deadline passed"
+	reasonUnconfirmed        = "end not confirmed"
 	reasonServerFailure      = "server's failure"
 	reasonCrashes            = "request crashes servers"
 )
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -24,9 +24,7 @@
 // relay forwards the events of a stream to the caller as they arrive.
 func (d *dispatcher) relay(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
 	events := upstream.NewEventReader(answer.Body)
-	control := http.NewResponseController(d.w)
 	eventsBefore := d.eventsSent
-	eventsRead := 0
 	isProgress := true
 	for {
 		// Only an event with an id is progress: a server in trouble may send other bytes without end.
@@ -37,17 +35,15 @@
 		}
 		event, err := events.Next()
 		if err != nil {
-			end := streamEnd(answer, eventsRead, event, err)
+			end := d.streamEnd(answer, event, err)
 			d.recordEnd(server, end)
 			if end.Verdict() == framing.Broken {
 				return d.streamFailed(ctx, server, brokenOff(err), startedAt)
 			}
-			d.streamEnded(server, answer, d.pace(startedAt, eventsBefore))
-			return resultDone
+			return d.streamEnded(server, answer, end.Verdict(), d.pace(startedAt, eventsBefore))
 		}
-		eventsRead++
 		isProgress = event.ID != ""
-		if !d.wasSent(event.ID) && !d.writeEvent(control, answer, event, !events.HasBufferedEvent()) {
+		if !d.wasSent(event.ID) && !d.writeEvent(answer, event, !events.HasBufferedEvent()) {
 			d.abandon()
 		}
 		d.watchPace(server, d.pace(startedAt, eventsBefore), d.eventsSent-eventsBefore)
@@ -67,15 +63,36 @@
 	return err
 }
 
-// streamEnded ends the answer to the caller after the last event.
-func (d *dispatcher) streamEnded(server *backend.TrackedServer, answer *upstream.Answer, pace float64) {
+// streamEnded handles the end of a server's stream that was not broken off.
+func (d *dispatcher) streamEnded(server *backend.TrackedServer, answer *upstream.Answer, verdict framing.Verdict, pace float64) attemptResult {
 	d.sendHead(answer)
 	server.RecordSuccess()
 	if !d.isAnswerSlow {
 		d.observe(server, versionrollout.Outcome{Pace: pace})
 	}
-	d.countAttempt(server, outcomeAnswered)
-	d.finish("request answered", "")
+	if verdict == framing.Complete {
+		d.countAttempt(server, outcomeAnswered)
+		d.endStream(verdict, "")
+		return resultDone
+	}
+	d.countAttempt(server, outcomeUnconfirmed)
+	isConfirmed := d.isUnconfirmed
+	d.isUnconfirmed = true
+	if d.route.MayRepeat() && d.lastEventID != "" && !isConfirmed {
+		return resultUnconfirmed
+	}
+	d.endStream(verdict, "")
+	return resultDone
+}
+
+// endStream ends the answer to the caller after the last event, or aborts it if a proper end would claim more than the verdict.
+func (d *dispatcher) endStream(verdict framing.Verdict, reason string) {
+	if !framing.MayEnd(verdict, d.answer.framing) {
+		d.finish("stream broken off", reasonUnconfirmed)
+		d.answer.abort()
+	}
+	d.answer.end()
+	d.finish("request answered", reason)
 }
 
 // silenceDeadline returns the time at which a stream without further events counts as broken. If no other server may resume the stream,
@@ -107,27 +124,31 @@
 
 // sendHead sends the head of the answer once: a stream that is resumed at another server keeps the head from the first one.
 func (d *dispatcher) sendHead(answer *upstream.Answer) {
-	if d.isHeadSent {
+	if d.answer.isHeadSent {
 		return
 	}
-	d.isHeadSent = true
 	d.countFirstEvent()
-	copyAnswerHeader(d.w.Header(), answer.Header)
-	d.w.WriteHeader(answer.Status)
+	server := answer.Framing()
+	if server == framing.Length {
+		// A length would have to be kept to also by the servers at which the stream is resumed.
+		server = framing.Chunked
+	}
+	d.answer.sendHead(answer.Status, answer.Header, server)
 }
 
 // writeEvent sends an event to the caller, and reports false if the caller has disconnected.
-func (d *dispatcher) writeEvent(control *http.ResponseController, answer *upstream.Answer, event upstream.Event, flush bool) bool {
+func (d *dispatcher) writeEvent(answer *upstream.Answer, event upstream.Event, flush bool) bool {
 	d.answerBegun()
 	d.sendHead(answer)
-	if _, err := d.w.Write(event.Raw); err != nil {
+	d.isUnconfirmed = false
+	if _, err := d.answer.w.Write(event.Raw); err != nil {
 		return false
 	}
 	if event.ID != "" {
 		d.lastEventID = event.ID
 	}
 	d.eventsSent++
-	return !flush || control.Flush() == nil
+	return !flush || d.answer.control.Flush() == nil
 }
 
 // streamFailed handles a stream that broke off, paused for too long or reached the deadline.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
@@ -28,8 +29,8 @@
 // dispatcher serves one admitted request by attempts at one server after the other.
 type dispatcher struct {
 	g *Gateway
-	w http.ResponseWriter
 	*admittedRequest
+	answer *callerAnswer
 	// attempts counts all attempts, possibleRuns those after which a server may have run the request.
 	attempts, possibleRuns int
 	// triedServers lists the servers of the attempts so far; an escalation to a larger model empties it.
@@ -41,8 +42,8 @@
 	lastEventID string
 	// eventsSent counts the events sent to the caller.
 	eventsSent int
-	// isHeadSent is set once the head of the answer was sent to the caller.
-	isHeadSent bool
+	// isUnconfirmed is set while the events sent may be all of the stream, which another server is asked to confirm.
+	isUnconfirmed bool
 	// versionChoice restricts the servers of the current attempt by version.
 	versionChoice versionrollout.Choice
 	// utilization is the fraction of the service's slots in use when the server was chosen; 0 if the caller named the model.
@@ -64,8 +65,8 @@
 	lastErrorAnswer *wholeAnswer
 }
 
-func newDispatcher(g *Gateway, admitted *admittedRequest, w http.ResponseWriter) *dispatcher {
-	d := &dispatcher{g: g, w: w, admittedRequest: admitted, lastEventID: admitted.LastEventID}
+func newDispatcher(g *Gateway, admitted *admittedRequest, answer *callerAnswer) *dispatcher {
+	d := &dispatcher{g: g, admittedRequest: admitted, answer: answer, lastEventID: admitted.LastEventID}
 	if admitted.AutoModel && len(admitted.route.Models) > 0 {
 		d.useModel(g.opts.ModelPolicy.First(admitted.route.Models))
 	}
@@ -79,7 +80,7 @@
 // escalate decides by an answer's confidence whether a larger model is to answer instead; it then selects that model and reports true.
 // An answer can only be replaced before any part of it was sent to the caller.
 func (d *dispatcher) escalate(info AnswerInfo) bool {
-	if d.model == "" || !info.HasConfidence || d.isHeadSent || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if d.model == "" || !info.HasConfidence || d.answer.isHeadSent || d.possibleRuns+1 >= d.route.MaxAttempts {
 		return false
 	}
 	next := d.g.opts.ModelPolicy.Next(d.route.Models, d.modelIndex, info.Confidence, d.priority(), d.utilization)
@@ -101,6 +102,8 @@
 	resultNotRun
 	// resultMayHaveRun means that the server may have run the request and that the caller has no complete answer.
 	resultMayHaveRun
+	// resultUnconfirmed means that the caller has the server's whole answer, of which nothing shows that it is complete.
+	resultUnconfirmed
 	// resultEscalated means that the answer was discarded and a larger model is to answer.
 	resultEscalated
 )
@@ -134,6 +137,8 @@
 			d.possibleRuns++
 			d.triedServers = nil
 			isRetry = false
+		case resultUnconfirmed:
+			d.possibleRuns++
 		case resultMayHaveRun:
 			d.possibleRuns++
 			if !d.route.MayRepeat() {
@@ -204,15 +209,19 @@
 // answer properly.
 func (d *dispatcher) abandon() {
 	d.finish("caller left", "")
-	panic(http.ErrAbortHandler)
+	d.answer.abort()
 }
 
-// failRequest ends a request for which there is no complete answer: it aborts an answer already begun, forwards the last error answer,
-// or sends the rejection.
+// failRequest ends a request for which there is no complete answer: it aborts an answer already begun, unless all of it may be sent, forwards
+// the last error answer, or sends the rejection.
 func (d *dispatcher) failRequest(failure *rejection) {
-	if d.isHeadSent {
+	if d.answer.isHeadSent && d.isUnconfirmed {
+		d.endStream(framing.Unconfirmed, failure.reason)
+		return
+	}
+	if d.answer.isHeadSent {
 		d.finish("stream broken off", failure.reason)
-		panic(http.ErrAbortHandler)
+		d.answer.abort()
 	}
 	if d.lastErrorAnswer != nil {
 		d.sendWhole(d.lastErrorAnswer)
@@ -226,7 +235,7 @@
 	if failure.status != http.StatusServiceUnavailable && d.possibleRuns == 0 {
 		failure = &rejection{status: http.StatusServiceUnavailable, reason: failure.reason, retryAfter: shortRetryAfter}
 	}
-	d.g.reject(d.w, d.RequestInfo, d.admittedRequest, failure)
+	d.g.reject(d.answer.w, d.RequestInfo, d.admittedRequest, failure)
 }
 
 // logEvent logs an event of the request, such as its end.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -62,7 +62,7 @@
 		d.lastErrorAnswer = read
 		return resultMayHaveRun
 	}
-	if d.isHeadSent {
+	if d.answer.isHeadSent {
 		d.failRequest(&rejection{status: http.StatusBadGateway, reason: reasonServerFailure})
 		return resultDone
 	}
@@ -90,11 +90,10 @@
 
 // sendWhole sends a complete answer to the caller.
 func (d *dispatcher) sendWhole(answer *wholeAnswer) {
-	copyAnswerHeader(d.w.Header(), answer.header)
-	d.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
-	d.w.WriteHeader(answer.status)
+	d.answer.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	d.answer.sendHead(answer.status, answer.header, framing.Length)
 	// A disconnected caller is noticed by its cancelled context.
-	_, _ = d.w.Write(answer.body)
+	_, _ = d.answer.w.Write(answer.body)
 }
 
 // drain discards the rest of a short answer, so that its connection can be reused.
