--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -294,3 +295,29 @@
 		f.c.Check(f.executedRuns(), qt.HasLen, 2)
 	})
 }
+
+// TestBrokenStreamOfHTTP10CallerIsReset sends a stream to a caller of HTTP/1.0, whose answers always end with their connection: it must be reset
+// if the stream is broken off, and closed properly if not.
+func TestBrokenStreamOfHTTP10CallerIsReset(t *testing.T) {
+	broken := platformfake.Script{Status: http.StatusOK, Framing: framing.Chunked, Events: 2}
+	for _, test := range []struct {
+		scripts []platformfake.Script
+		want    error
+	}{
+		{nil, nil},
+		{[]platformfake.Script{broken, broken, broken}, syscall.ECONNRESET},
+	} {
+		withTestFleet(t, func(f *testFleet) {
+			f.setScript(test.scripts...)
+			conn := f.dialNode(0)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			f.c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(resp.Body)
+			f.c.Check(err, qt.ErrorIs, test.want)
+			if test.want == nil {
+				f.c.Check(string(body), qt.Equals, platformfake.Stream("/s/1", streamEvents))
+			}
+			f.c.Assert(conn.Close(), qt.IsNil)
+		})
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -34,14 +34,16 @@
 	control *http.ResponseController
 	// conn is the caller's connection; nil if it can't be reset.
 	conn lingerer
-	framing framing.Framing
+	// canChunk is false for callers of HTTP/1.0, whose answers without a length end with their connection.
+	canChunk bool
+	framing  framing.Framing
 	// isHeadSent is set once the head was sent.
 	isHeadSent bool
 }
 
 func newCallerAnswer(w http.ResponseWriter, req *http.Request) *callerAnswer {
 	conn, _ := req.Context().Value(connKey{}).(lingerer)
-	return &callerAnswer{w: w, control: http.NewResponseController(w), conn: conn}
+	return &callerAnswer{w: w, control: http.NewResponseController(w), conn: conn, canChunk: req.ProtoAtLeast(1, 1)}
 }
 
 // sendHead sends the head of an answer. The answer has the framing of the server's answer, so that its end shows the caller no more than the
@@ -50,6 +52,9 @@
 	a.isHeadSent = true
 	copyAnswerHeader(a.w.Header(), header)
 	a.framing = server
+	if server == framing.Chunked && !a.canChunk {
+		a.framing = framing.Close
+	}
 	if a.framing == framing.Close {
 		// An unexpected end of this process must not look like the end of the answer either.
 		a.setLinger(lingerReset)
