--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -133,9 +133,6 @@
 
 // endTable returns the outcomes of all cases, a row a case and a column a sequel.
 func endTable(t *testing.T, cases []endCase, sequels []sequel, body func(path string, script platformfake.Script) string) string {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	columns := make([][]string, len(sequels))
 	for i, s := range sequels {
 		t.Run(s.name, func(t *testing.T) {
--- a/internal/fake/memnet/conn.go
+++ b/internal/fake/memnet/conn.go
@@ -1,6 +1,7 @@
 package memnet
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,27 +26,29 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
 
-// Close implements net.Conn. Bytes written before Close are still delivered, unless SetLinger(0) was called.
+// Close implements net.Conn. Bytes written before Close are still delivered.
 func (c *conn) Close() error {
 	err := net.ErrClosed
 	c.closing.Do(func() {
 		err = nil
 		c.network.removeConn(c)
-		if c.resetsOnClose.Load() && !c.out.isSilent() {
-			c.out.fail(syscall.ECONNRESET)
+		end := io.EOF
+		if c.resetsOnClose.Load() {
+			end = syscall.ECONNRESET
 		}
-		c.in.closeReader(c.out.closeWriter())
+		c.in.closeReader(c.out.closeWriter(end))
 	})
 	return err
 }
 
 // CloseWrite closes the direction to the peer and leaves the other direction open.
 func (c *conn) CloseWrite() error {
-	c.out.closeWriter()
+	c.out.closeWriter(io.EOF)
 	return nil
 }
 
-// SetLinger is like that of net.TCPConn: with 0, Close resets the connection and discards the bytes in flight.
+// SetLinger is like that of net.TCPConn: with 0, Close resets the connection. The bytes in flight arrive first, as they do where the network
+// is faster than the peer.
 func (c *conn) SetLinger(seconds int) error {
 	c.resetsOnClose.Store(seconds == 0)
 	return nil
--- a/internal/fake/memnet/faults.go
+++ b/internal/fake/memnet/faults.go
@@ -1,6 +1,9 @@
 package memnet
 
-import "time"
+import (
+	"io"
+	"time"
+)
 
 // Cut makes dials between two hosts fail at once and resets their open connections.
 func (n *Network) Cut(a, b string) {
@@ -96,7 +99,7 @@
 		return
 	}
 	c.in.closeReader(false)
-	c.out.closeWriter()
+	c.out.closeWriter(io.EOF)
 }
 
 func (n *Network) updateBothLinks(a, b string, change func(*linkState)) {
--- a/internal/fake/memnet/lane.go
+++ b/internal/fake/memnet/lane.go
@@ -1,7 +1,6 @@
 package memnet
 
 import (
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -17,7 +16,8 @@
 	data []byte
 	// arrives is when the reader can read the segment; it never decreases within a halfConn.
 	arrives time.Time
-	end     bool
+	// end, if set, is the error that ends the stream: io.EOF or ECONNRESET.
+	end error
 }
 
 // limitedWindow replaces halfConnCapacity on limited links, and limitedSegment bounds their segments, so that connections that share a
@@ -119,8 +119,8 @@
 	if first.arrives.After(now) {
 		return 0, earlier(first.arrives, hc.readDeadline), hc.changed, nil
 	}
-	if first.end {
-		return 0, now, nil, io.EOF
+	if first.end != nil {
+		return 0, now, nil, first.end
 	}
 	n = copy(p, first.data)
 	first.data = first.data[n:]
@@ -190,12 +190,12 @@
 	hc.wake()
 }
 
-// closeWriter ends the stream and reports whether the end reaches the peer.
-func (hc *halfConn) closeWriter() bool {
+// closeWriter ends the stream with an error, which the peer reads after the bytes written before, and reports whether that reaches the peer.
+func (hc *halfConn) closeWriter(end error) bool {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
 	if !hc.writerClosed && !hc.silent {
-		hc.push(segment{end: true})
+		hc.push(segment{end: end})
 	}
 	hc.writerClosed = true
 	hc.wake()
--- a/internal/fake/platformfake/script.go
+++ b/internal/fake/platformfake/script.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/framing"
 )
@@ -39,9 +38,6 @@
 	Close       Close
 }
 
-// resetDelay is the wait before a reset, in which the peer reads what was sent before it.
-const resetDelay = 10 * time.Millisecond
-
 // unreachableLength is added to the length of an answer that is broken off.
 const unreachableLength = 1000
 
@@ -95,7 +91,6 @@
 func (s *Script) end(conn net.Conn) {
 	switch s.Close {
 	case CloseReset:
-		time.Sleep(resetDelay)
 		if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 			_ = c.SetLinger(0)
 		}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -20,11 +20,12 @@
 	maxDrainBytes = 16 << 10
 )
 
-// wholeAnswer is a server's answer that was read completely.
+// wholeAnswer is a server's answer that was read to its end.
 type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	framing framing.Framing
 }
 
 // forwardWhole reads an answer completely before it forwards it, so that a caller never gets a partial answer.
@@ -85,15 +86,24 @@
 	if len(body) == maxWholeBytes {
 		return nil, upstream.Error.Wrap(&upstream.ErrEventTooLarge{MaxBytes: maxWholeBytes})
 	}
-	return &wholeAnswer{status: answer.Status, header: answer.Header, body: body}, nil
+	return &wholeAnswer{status: answer.Status, header: answer.Header, body: body, framing: answer.Framing()}, nil
 }
 
-// sendWhole sends a complete answer to the caller.
+// sendWhole sends an answer that was read to its end to the caller. One that ended with its connection does so for the caller too, since a
+// length would claim that it is complete.
 func (d *dispatcher) sendWhole(answer *wholeAnswer) {
-	d.answer.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
-	d.answer.sendHead(answer.status, answer.header, framing.Length)
-	// A disconnected caller is noticed by its cancelled context.
-	_, _ = d.answer.w.Write(answer.body)
+	known := answer.framing
+	if known == framing.Chunked {
+		known = framing.Length
+	}
+	if known == framing.Length {
+		d.answer.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	d.answer.sendHead(answer.status, answer.header, known)
+	if _, err := d.answer.w.Write(answer.body); err != nil {
+		d.abandon()
+	}
+	d.answer.end()
 }
 
 // drain discards the rest of a short answer, so that its connection can be reused.
