Let confirmations take a tenth of the retry budget

A further attempt at a stream that may be complete is optional: such attempts now take at most a tenth of the budget.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -163,7 +163,7 @@
 	case d.attempts == 0:
 	case d.attempts >= maxTotalAttempts || d.possibleRuns >= d.route.MaxAttempts:
 		return &rejection{status: http.StatusBadGateway, reason: reasonAttempts}
-	case isRetry && !d.g.opts.RetryBudget.AllowRetry(d.service.Name, time.Now()):
+	case isRetry && !d.allowRetry():
 		return retryLater(reasonBudget)
 	}
 	if d.team != nil && !d.g.opts.Configs.MayUseKeys() {
@@ -172,6 +172,14 @@
 	return d.checkCrashes()
 }
 
+// allowRetry draws on the retry budget. A further attempt at a stream that may be complete is optional.
+func (d *dispatcher) allowRetry() bool {
+	if d.isUnconfirmed {
+		return d.g.opts.RetryBudget.AllowOptionalRetry(d.service.Name, time.Now())
+	}
+	return d.g.opts.RetryBudget.AllowRetry(d.service.Name, time.Now())
+}
+
 // handleAnswer decides by the head of an answer whether to forward it or to make another attempt.
 func (d *dispatcher) handleAnswer(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
 	info := d.g.opts.HeaderCodec.ReadAnswer(answer.Header)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -17,6 +17,9 @@
 	// usedFraction is the fraction of the limit that nodes use. The limit applies to retries counted on arrival at the servers, a
 	// little later than they are counted here.
 	usedFraction = 0.8
+	// optionalFraction is the fraction of the used limit that optional retries may take, so that they leave the rest to requests that fail
+	// without a retry.
+	optionalFraction = 0.1
 )
 
 // Options configures New.
@@ -41,7 +44,8 @@
 	// newestBucket is the number of the newest bucket, counted from the Unix epoch.
 	newestBucket int64
 	requests     [bucketCount + 1]float64
-	retries      [bucketCount + 1]float64
+	// retries counts all retries, optional those among them that are optional.
+	retries, optional [bucketCount + 1]float64
 }
 
 // New returns a budget without counts.
@@ -62,19 +66,43 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.currentCounts(service, now)
-	var requests, retries float64
-	for i := range c.requests {
-		requests += c.requests[i]
-		retries += c.retries[i]
+	return c.add(b.limit(c))
+}
+
+// AllowOptionalRetry is like AllowRetry for a retry without which the request doesn't fail.
+func (b *Budget) AllowOptionalRetry(service route.Service, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.currentCounts(service, now)
+	limit := b.limit(c)
+	if sum(c.optional)+1 > optionalFraction*limit || !c.add(limit) {
+		return false
 	}
-	limit := usedFraction * (b.opts.Ratio*requests + b.opts.Slack/float64(max(1, b.opts.NodeCount())))
-	if retries+1 > limit {
+	c.optional[c.newestBucket%int64(len(c.optional))]++
+	return true
+}
+
+// limit returns the number of retries allowed in the current window.
+func (b *Budget) limit(c *counts) float64 {
+	return usedFraction * (b.opts.Ratio*sum(c.requests) + b.opts.Slack/float64(max(1, b.opts.NodeCount())))
+}
+
+// add counts a retry and returns true if the limit allows it.
+func (c *counts) add(limit float64) bool {
+	if sum(c.retries)+1 > limit {
 		return false
 	}
 	c.retries[c.newestBucket%int64(len(c.retries))]++
 	return true
 }
 
+func sum(buckets [bucketCount + 1]float64) (total float64) {
+	for _, n := range buckets {
+		total += n
+	}
+	return total
+}
+
 // currentCounts returns a service's counts after clearing the buckets that have left the window; the caller holds b.mu.
 func (b *Budget) currentCounts(service route.Service, now time.Time) *counts {
 	c, ok := b.services[service]
@@ -85,7 +113,7 @@
 	currentBucket := now.UnixNano() / int64(b.opts.Window/bucketCount)
 	for passed := min(currentBucket-c.newestBucket, int64(len(c.requests))); passed > 0; passed-- {
 		i := (currentBucket - passed + 1) % int64(len(c.requests))
-		c.requests[i], c.retries[i] = 0, 0
+		c.requests[i], c.retries[i], c.optional[i] = 0, 0, 0
 	}
 	c.newestBucket = max(c.newestBucket, currentBucket)
 	return c
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
@@ -36,7 +37,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				budget.RecordRequest(service, now)
 				events = append(events, event{at, false})
-			} else if budget.AllowRetry(service, now) {
+			} else if rapid.Bool().Draw(t, "optional") && budget.AllowOptionalRetry(service, now) || budget.AllowRetry(service, now) {
 				events = append(events, event{at, true})
 			}
 		}
@@ -57,3 +58,26 @@
 		}
 	})
 }
+
+// TestOptionalRetriesLeaveBudget asks for more optional retries than the budget allows: retries of failed requests must still be allowed.
+func TestOptionalRetriesLeaveBudget(t *testing.T) {
+	const service = route.Service("s")
+	budget := retrybudget.New(retrybudget.Options{Ratio: 1, Window: 10 * time.Second, NodeCount: func() int { return 1 }})
+	now := time.Unix(1_700_000_000, 0)
+	var optional, needed int
+	for range 100 {
+		budget.RecordRequest(service, now)
+	}
+	for range 100 {
+		if budget.AllowOptionalRetry(service, now) {
+			optional++
+		}
+	}
+	for range 100 {
+		if budget.AllowRetry(service, now) {
+			needed++
+		}
+	}
+	qt.Check(t, optional, qt.Equals, 8)
+	qt.Check(t, needed, qt.Equals, 72)
+}
