--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -25,6 +25,8 @@
 	// Status and Header are the response status and header of a plain service.
 	Status int
 	Header http.Header
+	// EndsWithConnection means that the server's answer ended with its connection, which doesn't show that it is complete.
+	EndsWithConnection bool
 	// Version is the version that generates the answer; zero for a plain service.
 	Version api.VersionID
 	// Server is the backend server that runs the request.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/router"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -74,6 +75,9 @@
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
+	if framing.OfResponse(resp) == framing.Close {
+		framing.EndWithConnection(w.Header())
+	}
 	w.WriteHeader(resp.StatusCode)
 	copyFlushed(w, resp.Body)
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/router"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -83,7 +84,12 @@
 		w.Header()[name] = values
 	}
 	setResponseHeaders(w.Header(), ans, part.Head)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if part.Head.EndsWithConnection {
+		// A length would claim that the answer is complete.
+		framing.EndWithConnection(w.Header())
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(part.Head.Status)
 	_, _ = w.Write(body)
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -2,6 +2,8 @@
 // no input or output.
 package framing
 
+import "net/http"
+
 // Framing is how a message shows where its body ends (RFC 9112, section 6.3).
 type Framing int
 
@@ -14,6 +16,25 @@
 	Close
 )
 
+// OfResponse returns the framing of a response that net/http has read.
+func OfResponse(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return Chunked
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return Length
+	default:
+		return Close
+	}
+}
+
+// EndWithConnection makes net/http end a response with its connection, instead of sending it in chunks. It is called before the header is
+// written.
+func EndWithConnection(header http.Header) {
+	// The server of net/http takes this value as a request for such an end; the field itself is not sent.
+	header.Set("Transfer-Encoding", "identity")
+}
+
 // Place is the place in a stream of events at which an answer ended.
 type Place int
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -58,8 +58,7 @@
 	if a.framing == framing.Close {
 		// An unexpected end of this process must not look like the end of the answer either.
 		a.setLinger(lingerReset)
-		// net/http takes this for an answer that ends with its connection; the field is not sent.
-		a.w.Header().Set("Transfer-Encoding", "identity")
+		framing.EndWithConnection(a.w.Header())
 	}
 	a.w.WriteHeader(status)
 }
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -112,10 +113,18 @@
 	BeforeSend func()
 }
 
+// Head is the head of an answer.
+type Head struct {
+	Status int
+	Header http.Header
+	// EndsWithConnection means that the body has neither a length nor chunks, so that its end doesn't show that it is complete.
+	EndsWithConnection bool
+}
+
 // Sink receives an answer as it arrives.
 type Sink interface {
 	// Head is called once, before any Block; an error ends the call.
-	Head(status int, header http.Header) error
+	Head(head Head) error
 	// Block is called with a part of the body, which is valid only during the call of Block; an error ends the call.
 	Block(block []byte) error
 }
@@ -153,7 +162,8 @@
 	if cause := resp.Header.Get(headerRefused); cause != "" {
 		return Error.Wrap(&ErrRefused{Status: resp.StatusCode, Cause: RefusalCause(cause)})
 	}
-	if err := sink.Head(resp.StatusCode, forwardedHeader(resp.Header)); err != nil {
+	head := Head{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), EndsWithConnection: framing.OfResponse(resp) == framing.Close}
+	if err := sink.Head(head); err != nil {
 		return err
 	}
 	return copyBody(resp.Body, sink, timer, opts.BlockTimeout)
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -251,13 +251,14 @@
 }
 
 // Head implements plain.Sink.
-func (p *plainRun) Head(status int, header http.Header) error {
+func (p *plainRun) Head(head plain.Head) error {
 	if !p.hedgeTimer.markAnswered() {
 		return &errLate{}
 	}
 	p.headAt = time.Now()
 	p.answer.SetHead(answer.Head{
-		Status: status, Header: header, Server: p.server, Revision: p.revision, Created: p.headAt,
+		Status: head.Status, Header: head.Header, EndsWithConnection: head.EndsWithConnection,
+		Server: p.server, Revision: p.revision, Created: p.headAt,
 	})
 	return nil
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -147,16 +147,7 @@
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
 // Framing returns how the body shows where it ends.
-func (a *Answer) Framing() framing.Framing {
-	switch {
-	case len(a.resp.TransferEncoding) > 0:
-		return framing.Chunked
-	case a.resp.ContentLength >= 0 || a.resp.Body == http.NoBody:
-		return framing.Length
-	default:
-		return framing.Close
-	}
-}
+func (a *Answer) Framing() framing.Framing { return framing.OfResponse(a.resp) }
 
 // Close returns the connection to the pool if the complete answer was read and the server keeps the connection open, and closes it
 // otherwise.
--- a/pkg/client/plain.go
+++ b/pkg/client/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/monsoonrail/monsoonrail/internal/framing"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -30,7 +31,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	Info   Info
+	// EndsWithConnection means that the service's answer ended with its connection, so that nothing shows whether Body is complete.
+	EndsWithConnection bool
+	Info               Info
 }
 
 // Call calls a plain service. A call that is not repeatable runs at most once, however often it is sent.
@@ -71,7 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}
+	answer := &PlainAnswer{
+		Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: framing.OfResponse(response) == framing.Close,
+	}
 	answer.Info = wire.info(response.Header)
 	return answer, nil
 }
