Repeat a repeatable call whose answer falls silent

Callers of a repeatable call waited to its deadline and got a 504 where the server sent the head of an answer and then nothing: only the wait for the head was bounded. The rest is now bounded the same way while another attempt may follow.

--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -23,7 +23,7 @@
 	})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	headTimer := time.AfterFunc(d.headTimeout(), cancel)
+	headTimer := time.AfterFunc(d.answerTimeout(), cancel)
 	defer headTimer.Stop()
 	endWatch := d.watchFirstEvent(server)
 	defer endWatch()
@@ -47,25 +47,30 @@
 	return d.handleAnswer(ctx, server, answer, startedAt)
 }
 
-// headTimeout returns how long to wait for the head of a server's answer. If no further attempt may follow, it returns the
-// time until the deadline.
-func (d *dispatcher) headTimeout() time.Duration {
+// isLastAttempt reports whether no further attempt may follow if the server runs the current one.
+func (d *dispatcher) isLastAttempt() bool {
+	return !d.route.MayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts
+}
+
+// answerTimeout returns how long to wait for the head of a server's answer, and then for the body of one that isn't streamed. If no further
+// attempt may follow, it returns the time until the deadline.
+func (d *dispatcher) answerTimeout() time.Duration {
 	remaining := time.Until(d.deadline)
-	if !d.route.MayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if d.isLastAttempt() {
 		return remaining
 	}
 	timeout := remaining / 2
 	if d.route.TargetLatency > 0 {
-		timeout = max(min(timeout, headTimeoutFactor*d.route.TargetLatency), minHeadTimeout)
+		timeout = max(min(timeout, answerTimeoutFactor*d.route.TargetLatency), minAnswerTimeout)
 	}
 	return min(timeout, remaining)
 }
 
 const (
-	// headTimeoutFactor times the route's target latency is the wait before a repeatable request is sent to another server.
-	headTimeoutFactor = 2
-	// minHeadTimeout is the minimum of that wait, so that short target latencies don't double the load of busy servers.
-	minHeadTimeout = 250 * time.Millisecond
+	// answerTimeoutFactor times the route's target latency is the wait before a repeatable request is sent to another server.
+	answerTimeoutFactor = 2
+	// minAnswerTimeout is the minimum of that wait, so that short target latencies don't double the load of busy servers.
+	minAnswerTimeout = 250 * time.Millisecond
 )
 
 // attemptFailed records an attempt that got no answer, and returns whether the request may have run.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -98,7 +98,7 @@
 // silenceDeadline returns the time at which a stream without further events counts as broken. If no other server may resume the stream,
 // that is the request's deadline, since a busy server may still send events late.
 func (d *dispatcher) silenceDeadline() time.Time {
-	if !d.route.MayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if d.isLastAttempt() {
 		return d.deadline
 	}
 	pause := d.route.MaxPause
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -78,6 +78,11 @@
 func (e *errUnsigned) Error() string { return "unsigned answer with status " + strconv.Itoa(e.status) }
 
 func (d *dispatcher) readWhole(server *backend.TrackedServer, answer *upstream.Answer) (*wholeAnswer, error) {
+	if !d.isLastAttempt() {
+		if err := answer.SetReadDeadline(time.Now().Add(d.answerTimeout())); err != nil {
+			return nil, upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: err})
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
 	d.recordEnd(server, framing.End{Framing: answer.Framing(), Place: framing.NotEvents, Cause: endCause(err)})
 	if err != nil {
