--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -72,6 +72,11 @@
 		return
 	}
 	defer resp.Body.Close()
+	forwardResponse(w, resp)
+}
+
+// forwardResponse relays a peer's response, which ends for the caller as it does here.
+func forwardResponse(w http.ResponseWriter, resp *http.Response) {
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
--- a/internal/caller/plain_test.go
+++ b/internal/caller/plain_test.go
@@ -39,3 +39,35 @@
 		node.Close()
 	}
 }
+
+// TestForwardedAnswerKeepsItsFraming forwards the answers of a peer: one that ends with its connection must not end by a last chunk.
+func TestForwardedAnswerKeepsItsFraming(t *testing.T) {
+	for _, want := range []framing.Framing{framing.Length, framing.Chunked, framing.Close} {
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			switch want {
+			case framing.Chunked:
+				w.WriteHeader(http.StatusOK)
+				qt.Check(t, http.NewResponseController(w).Flush(), qt.IsNil)
+			case framing.Close:
+				framing.EndWithConnection(w.Header())
+			}
+			_, _ = w.Write([]byte("body"))
+		}))
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			resp, err := http.Get(peer.URL)
+			if qt.Check(t, err, qt.IsNil) {
+				forwardResponse(w, resp)
+				qt.Check(t, resp.Body.Close(), qt.IsNil)
+			}
+		}))
+		resp, err := http.Get(node.URL)
+		qt.Assert(t, err, qt.IsNil)
+		body, err := io.ReadAll(resp.Body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body), qt.Equals, "body")
+		qt.Check(t, framing.OfResponse(resp), qt.Equals, want)
+		qt.Assert(t, resp.Body.Close(), qt.IsNil)
+		node.Close()
+		peer.Close()
+	}
+}
