--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -279,6 +279,19 @@
 	})
 }
 
+// TestStreamWithoutIDsIsNotRepeated breaks off a stream whose events have no ids: another server would begin with the first event again.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	for _, f := range []framing.Framing{framing.Chunked, framing.Close} {
+		withTestFleet(t, func(fleet *testFleet) {
+			fleet.setScript(platformfake.Script{Status: http.StatusOK, Framing: f, Events: 3, HasNoIDs: true, Close: platformfake.CloseReset})
+			got := fleet.send(context.Background(), 0, "/s/1", "key-1")
+			full := platformfake.WithoutIDs(platformfake.Stream("/s/1", streamEvents))
+			fleet.c.Check(outcome(fleet.c, got, full), qt.Equals, "cut")
+			fleet.c.Check(fleet.executedRuns(), qt.HasLen, 1)
+		})
+	}
+}
+
 // TestUnframedStreamsAreConfirmedOnce lets all servers send streams without framing: one further server is asked whether a stream is complete,
 // not as many as the route allows.
 func TestUnframedStreamsAreConfirmedOnce(t *testing.T) {
--- a/internal/fake/platformfake/script.go
+++ b/internal/fake/platformfake/script.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -32,6 +33,8 @@
 	Events int
 	// HasPartialEvent adds a part of the next event.
 	HasPartialEvent bool
+	// HasNoIDs leaves the events' ids out.
+	HasNoIDs bool
 	// IsFramedEnd lets the body's framing end after these bytes: by the last chunk, or by a length that counts only them. Otherwise the
 	// length is one that is never reached, and the last chunk is missing.
 	IsFramedEnd bool
@@ -56,6 +59,9 @@
 	if s.Status != http.StatusOK {
 		body = ""
 	}
+	if s.HasNoIDs {
+		body = WithoutIDs(body)
+	}
 	fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n", s.Status, http.StatusText(s.Status))
 	switch s.Framing {
 	case framing.Length:
@@ -75,6 +81,12 @@
 	s.end(conn)
 }
 
+// WithoutIDs returns events without their ids.
+func WithoutIDs(events string) string { return idLine.ReplaceAllString(events, "") }
+
+// idLine is the line of an event that has its id.
+var idLine = regexp.MustCompile(`(?m)^id: \d+\n`)
+
 // chunks returns a body as one chunk, and the last chunk if isEnded.
 func chunks(body string, isEnded bool) string {
 	var all strings.Builder
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -49,7 +49,7 @@
 
 // isLastAttempt reports whether no further attempt may follow if the server runs the current one.
 func (d *dispatcher) isLastAttempt() bool {
-	return !d.route.MayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts
+	return !d.mayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts
 }
 
 // answerTimeout returns how long to wait for the head of a server's answer, and then for the body of one that isn't streamed. If no further
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,7 +78,7 @@
 	d.countAttempt(server, outcomeUnconfirmed)
 	isConfirmed := d.isUnconfirmed
 	d.isUnconfirmed = true
-	if d.route.MayRepeat() && d.lastEventID != "" && !isConfirmed {
+	if d.mayRepeat() && d.lastEventID != "" && !isConfirmed {
 		return resultUnconfirmed
 	}
 	d.endStream(verdict, "")
@@ -147,6 +147,7 @@
 	if event.ID != "" {
 		d.lastEventID = event.ID
 	}
+	d.hasSentDataWithoutID = event.ID == "" && (event.HasData || d.hasSentDataWithoutID)
 	d.eventsSent++
 	return !flush || d.answer.control.Flush() == nil
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,6 +40,8 @@
 	modelIndex int
 	// lastEventID is the id of the last event sent to the caller, initially the one from which the caller resumes a stream.
 	lastEventID string
+	// hasSentDataWithoutID is set while the last data sent to the caller has no id, so that no server can go on after it.
+	hasSentDataWithoutID bool
 	// eventsSent counts the events sent to the caller.
 	eventsSent int
 	// isUnconfirmed is set while the events sent may be all of the stream, which another server is asked to confirm.
@@ -141,7 +143,7 @@
 			d.possibleRuns++
 		case resultMayHaveRun:
 			d.possibleRuns++
-			if !d.route.MayRepeat() {
+			if !d.mayRepeat() {
 				d.failRequest(&rejection{status: http.StatusBadGateway, reason: "server's answer lost"})
 				return
 			}
@@ -172,6 +174,9 @@
 	return d.checkCrashes()
 }
 
+// mayRepeat reports whether the request may be sent to another server after one may have run it.
+func (d *dispatcher) mayRepeat() bool { return d.route.MayRepeat() && !d.hasSentDataWithoutID }
+
 // allowRetry draws on the retry budget. A further attempt at a stream that may be complete is optional.
 func (d *dispatcher) allowRetry() bool {
 	if d.isUnconfirmed {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -59,7 +59,7 @@
 	if isServerError {
 		server.RecordErrorAnswer()
 	}
-	if isServerError && d.route.MayRepeat() {
+	if isServerError && d.mayRepeat() {
 		d.lastErrorAnswer = read
 		return resultMayHaveRun
 	}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -16,6 +16,8 @@
 	Raw []byte
 	// ID is the event's id; empty if it has none.
 	ID string
+	// HasData means that the event is no mere comment.
+	HasData bool
 }
 
 // EventReader splits a stream of server-sent events into events without changing any byte.
@@ -61,6 +63,9 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		if bytes.HasPrefix(line, []byte("data")) {
+			event.HasData = true
+		}
 	}
 }
 
