Let a read of the in-memory network see its own close before the peer's

Cause: conn.Close told the peer before it failed the own pending Read; a stand-in that closes in reaction ended the answer properly at the deadline. The operating system's sockets fail the own Read first.

--- a/internal/fake/memnet/conn.go
+++ b/internal/fake/memnet/conn.go
@@ -36,7 +36,9 @@
 		if c.resetsOnClose.Load() {
 			end = syscall.ECONNRESET
 		}
-		c.in.closeReader(c.out.closeWriter(end))
+		// The reader ends first: its pending Read must not see the peer's reaction to the close.
+		c.in.closeReader(!c.out.isSilent())
+		c.out.closeWriter(end)
 	})
 	return err
 }
--- a/internal/fake/memnet/lane.go
+++ b/internal/fake/memnet/lane.go
@@ -190,8 +190,8 @@
 	hc.wake()
 }
 
-// closeWriter ends the stream with an error, which the peer reads after the bytes written before, and reports whether that reaches the peer.
-func (hc *halfConn) closeWriter(end error) bool {
+// closeWriter ends the stream with an error, which the peer reads after the bytes written before.
+func (hc *halfConn) closeWriter(end error) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
 	if !hc.writerClosed && !hc.silent {
@@ -199,7 +199,6 @@
 	}
 	hc.writerClosed = true
 	hc.wake()
-	return !hc.silent
 }
 
 // closeReader ends reading and discards unread bytes. If the peer is not notified, its further writes succeed and are dropped.
--- a/internal/fake/memnet/network_test.go
+++ b/internal/fake/memnet/network_test.go
@@ -174,3 +174,18 @@
 		})
 	}
 }
+
+// TestPendingReadSeesItsOwnClose closes a connection whose peer closes its end in reaction: the pending Read must fail with the own close.
+func TestPendingReadSeesItsOwnClose(t *testing.T) {
+	for range 3000 {
+		c := qt.New(t)
+		client, server := connect(c, memnet.New())
+		go func() {
+			_, _ = io.Copy(io.Discard, server)
+			_ = server.Close()
+		}()
+		go func() { _ = client.Close() }()
+		_, err := client.Read(make([]byte, 1))
+		c.Assert(err, qt.ErrorIs, net.ErrClosed)
+	}
+}
