Retry a stream whose end the caller's framing can't leave open

A stream in chunks that was resumed at a server without framing needs its end confirmed, or has to be broken off. That attempt counted as optional, and wasn't made again after a second end of that kind. It now is a retry like others: TestNeededConfirmationIsNoOptionalRetry got "cut" before.

--- a/internal/edge/answer_ends_test.go
+++ b/internal/edge/answer_ends_test.go
@@ -268,6 +268,7 @@
 		}{
 			{"confirmed", streamEvents - 3, nil, "whole"},
 			{"more events", 2, nil, "whole"},
+			{"ended without framing twice", streamEvents - 3, []platformfake.Script{{Status: http.StatusOK, Framing: framing.Close}}, "cut"},
 			{"not confirmed", streamEvents - 3, []platformfake.Script{{Status: http.StatusNotFound, IsFramedEnd: true}}, "cut"},
 		} {
 			resumed := platformfake.Script{Status: http.StatusOK, Framing: framing.Close, Events: test.events}
@@ -279,6 +280,24 @@
 	})
 }
 
+// TestNeededConfirmationIsNoOptionalRetry uses up what the retry budget allows for optional retries: a stream in chunks, whose end has to be
+// confirmed, must still get its retry.
+func TestNeededConfirmationIsNoOptionalRetry(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		f.setScript(platformfake.Script{Status: http.StatusOK, Framing: framing.Close, Events: streamEvents})
+		for range 8 {
+			f.send(context.Background(), 0, "/s/1", "key-1")
+		}
+		f.c.Check(len(f.executedRuns()) < 16, qt.IsTrue, qt.Commentf("optional retries are left"))
+		f.setScript(
+			platformfake.Script{Status: http.StatusOK, Framing: framing.Chunked, Events: 3},
+			platformfake.Script{Status: http.StatusOK, Framing: framing.Close, Events: streamEvents - 3},
+		)
+		got := f.send(context.Background(), 0, "/s/1", "key-1")
+		f.c.Check(outcome(f.c, got, platformfake.Stream("/s/1", streamEvents)), qt.Equals, "whole")
+	})
+}
+
 // TestStreamWithoutIDsIsNotRepeated breaks off a stream whose events have no ids: another server would begin with the first event again.
 func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
 	for _, f := range []framing.Framing{framing.Chunked, framing.Close} {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -76,15 +76,19 @@
 		return resultDone
 	}
 	d.countAttempt(server, outcomeUnconfirmed)
-	isConfirmed := d.isUnconfirmed
+	// Two servers in a row that have no further events are enough, unless the caller's framing has to show that the stream is complete.
+	isEnough := d.isUnconfirmed && d.mayEndUnconfirmed()
 	d.isUnconfirmed = true
-	if d.mayRepeat() && d.lastEventID != "" && !isConfirmed {
+	if d.mayRepeat() && d.lastEventID != "" && !isEnough {
 		return resultUnconfirmed
 	}
 	d.endStream(verdict, "")
 	return resultDone
 }
 
+// mayEndUnconfirmed reports whether the answer to the caller may end where nothing shows that it is complete.
+func (d *dispatcher) mayEndUnconfirmed() bool { return framing.MayEnd(framing.Unconfirmed, d.answer.framing) }
+
 // endStream ends the answer to the caller after the last event, or aborts it if a proper end would claim more than the verdict.
 func (d *dispatcher) endStream(verdict framing.Verdict, reason string) {
 	if !framing.MayEnd(verdict, d.answer.framing) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -177,9 +177,9 @@
 // mayRepeat reports whether the request may be sent to another server after one may have run it.
 func (d *dispatcher) mayRepeat() bool { return d.route.MayRepeat() && !d.hasSentDataWithoutID }
 
-// allowRetry draws on the retry budget. A further attempt at a stream that may be complete is optional.
+// allowRetry draws on the retry budget. A further attempt at a stream that may be complete is optional if the stream may end without it.
 func (d *dispatcher) allowRetry() bool {
-	if d.isUnconfirmed {
+	if d.isUnconfirmed && d.mayEndUnconfirmed() {
 		return d.g.opts.RetryBudget.AllowOptionalRetry(d.service.Name, time.Now())
 	}
 	return d.g.opts.RetryBudget.AllowRetry(d.service.Name, time.Now())
