--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -87,7 +87,9 @@
 }
 
 // mayEndUnconfirmed reports whether the answer to the caller may end where nothing shows that it is complete.
-func (d *dispatcher) mayEndUnconfirmed() bool { return framing.MayEnd(framing.Unconfirmed, d.answer.framing) }
+func (d *dispatcher) mayEndUnconfirmed() bool {
+	return framing.MayEnd(framing.Unconfirmed, d.answer.framing)
+}
 
 // endStream ends the answer to the caller after the last event, or aborts it if a proper end would claim more than the verdict.
 func (d *dispatcher) endStream(verdict framing.Verdict, reason string) {
