--- a/internal/dev/system_test.go
+++ b/internal/dev/system_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -171,3 +172,17 @@
 		qt.Check(t, string(raw), qt.Contains, `latency_microseconds_count{team="lessons"} 1`)
 	})
 }
+
+// TestAnsweredCallIsInTheMetrics reads the metrics right after each of many answers: a caller that has its answer must find it counted.
+func TestAnsweredCallIsInTheMetrics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, nil)
+		defer b.close()
+		for i := range 300 {
+			resp, raw := b.do(http.MethodPost, b.system.NodeURL(0)+"/v1/chat/completions", nil, question)
+			qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", raw))
+			_, raw = b.do(http.MethodGet, b.system.NodeURL(0)+"/metrics", map[string]string{"Authorization": "Bearer " + dev.OperatorKey}, "")
+			qt.Check(t, string(raw), qt.Contains, fmt.Sprintf("latency_microseconds_count{team=\"lessons\"} %d\n", i+1))
+		}
+	})
+}
--- a/internal/router/chat_run.go
+++ b/internal/router/chat_run.go
@@ -276,8 +276,9 @@
 		return api.NewProblem(api.ReasonOverloaded, http.StatusServiceUnavailable, api.OutcomeRan,
 			"the request ran but its bill could not be taken")
 	}
-	c.answer.Finish(tail)
+	// A caller that has its whole answer finds it in the metrics.
 	c.router.observeChat(c, to, bill)
+	c.answer.Finish(tail)
 	c.logAnswered(to, bill, tail)
 	// A first answer of a cascade that is kept has already been submitted for rating.
 	if c.draft == nil || !c.escalatedTo.IsZero() {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -279,10 +279,10 @@
 		return api.NewProblem(api.ReasonOverloaded, http.StatusServiceUnavailable, api.OutcomeRan,
 			"the call ran but its bill could not be taken")
 	}
-	p.answer.Finish(answer.Tail{})
-	p.logAnswered(bill)
 	label := metric.Label{Name: "team", Value: string(p.call.Team)}
 	p.router.opts.Metrics.ObserveDuration("latency", bill.At.Sub(p.arrivedAt), label)
+	p.answer.Finish(answer.Tail{})
+	p.logAnswered(bill)
 	return nil
 }
 
