--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -225,8 +225,8 @@
 	d.answer.abort()
 }
 
-// failRequest ends a request for which there is no complete answer: it aborts an answer already begun, unless all of it may be sent, forwards
-// the last error answer, or sends the rejection.
+// failRequest ends a request for which there is no complete answer. It ends an answer that may be complete as such, aborts any other that has
+// begun, forwards the last error answer, or sends the rejection.
 func (d *dispatcher) failRequest(failure *rejection) {
 	if d.answer.isHeadSent && d.isUnconfirmed {
 		d.endStream(framing.Unconfirmed, failure.reason)
