--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case2 lets one of three servers fail a part of its requests, after it has run them, with a signed 503 that does not say that the request
+// Command case2 lets one of eight servers fail a part of its requests, after it has run them, with a signed 503 that does not say that the request
 // was not run. Callers of requests that may run once must not get a status that promises that their request has not run.
 package main
 
@@ -23,9 +23,11 @@
 
 const (
 	callers = 8
+	// servers is the number of servers, of which one fails.
+	servers = 8
 	// work is the time that a server takes for a request.
 	work     = 60 * time.Millisecond
-	duration = 8 * time.Second
+	duration = 6 * time.Second
 	// failurePercent is the part of its requests that the failing server fails.
 	failurePercent = 45
 	failing        = "i-0"
@@ -56,7 +58,7 @@
 		}
 	}
 	var options []platformfake.ServerOptions
-	for i := range 3 {
+	for i := range servers {
 		options = append(options, platformfake.ServerOptions{ID: "i-" + strconv.Itoa(i), Latency: work, Script: script})
 	}
 	d, err := standin.Start(options...)
@@ -77,9 +79,9 @@
 }
 
 // judge writes the record and returns the number of requests that ran and were answered with a status that promises that they have not.
-func judge(path string, seen []standin.Request, servers []*platformfake.Server) (broken int, err error) {
+func judge(path string, seen []standin.Request, deployed []*platformfake.Server) (broken int, err error) {
 	ran, orders := make(map[string]string), make(map[string]int)
-	for _, server := range servers {
+	for _, server := range deployed {
 		for _, run := range server.Runs() {
 			ran[run.ID] += run.Server + " "
 			orders[run.Path]++
