--- a/review/1/main.go
+++ b/review/1/main.go
@@ -57,8 +57,9 @@
 	seen := &standin.Record{}
 	var wait sync.WaitGroup
 	stopping := make(chan struct{})
+	caller := standin.Caller{Address: d.Callers, Seen: seen, Stopping: stopping}
 	for range callers {
-		wait.Go(func() { standin.Call(d.Callers, seen, stopping) })
+		wait.Go(caller.Call)
 	}
 	time.Sleep(3 * time.Second)
 	terminated := time.Now()
@@ -81,17 +82,11 @@
 	}
 	close(stopping)
 	wait.Wait()
-	return judge(recordPath, seen.Requests(), d.Servers, terminated, end)
+	return judge(recordPath, seen.Requests(), d.PassedOn(), terminated, end)
 }
 
 // judge writes the record and returns the number of requests that were passed on to a server during the stop and got no answer.
-func judge(path string, seen []standin.Request, servers []*platformfake.Server, terminated time.Time, end string) (lost int, err error) {
-	arrived := make(map[string]time.Time)
-	for _, server := range servers {
-		for _, arrival := range server.ListArrivals() {
-			arrived[arrival.ID] = arrival.At
-		}
-	}
+func judge(path string, seen []standin.Request, arrived map[string]time.Time, terminated time.Time, end string) (lost int, err error) {
 	var out strings.Builder
 	fmt.Fprintf(&out, "times in seconds from SIGTERM\n%s\n", end)
 	since := func(t time.Time) string {
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
-# A server answers with a 503 after it has run a request. Exit 1: a caller was told that its request has not run; 0: none was; 2: the case
-# could not run.
-# TROUBLE=0 lets all servers be sound.
+# A request comes again and again that crashes each server after the first event of its answer. Exit 1: it reached servers in more retries than
+# allowed; 0: it did not; 2: the case could not run. TROUBLE=0 leaves that request out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/monsoonrail ] && [ -x target/review/case2 ] || { echo "build first: deploy file, then review/build.sh"; exit 2; }
 exec target/review/case2 -record review/2/record.txt -trouble "${TROUBLE:-1}"
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -9,11 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,7 +29,9 @@
 	// retryAfter is the wait before an order is sent again.
 	retryAfter = 300 * time.Millisecond
 	heartbeat  = 1200 * time.Millisecond
-	settings   = `nodeName = "edge-a-1"
+	// expiry is the time after which the entry of a silent server is removed: three heartbeats.
+	expiry   = 3 * heartbeat
+	settings = `nodeName = "edge-a-1"
 role = "edge"
 machineClass = "edge"
 serves = ["edge","registry"]
@@ -76,8 +80,13 @@
 minTtlMs = 1000
 `
 	configuration = `{"version":1,"routes":[{"name":"orders","host":"app.example","prefix":"/orders/","routeType":"unsafe","timeoutMs":4000,` +
-		`"targetLatencyMs":300,"priority":0,"service":"desk","maxAttempts":3,"public":false}],` +
-		`"services":[{"name":"desk","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}],` +
+		`"targetLatencyMs":300,"priority":0,"service":"desk","maxAttempts":3,"public":false},{"name":"chat","host":"app.example","prefix":"/chat/",` +
+		`"routeType":"streaming","timeoutMs":20000,"targetLatencyMs":2000,"priority":0,"service":"engines","maxAttempts":3,"public":false,` +
+		`"sessionAffinity":true,"resumable":true,"itlTargetMs":1500},{"name":"once","host":"app.example","prefix":"/once/",` +
+		`"routeType":"streaming","timeoutMs":20000,"targetLatencyMs":2000,"priority":0,"service":"engines","maxAttempts":3,"public":false,` +
+		`"sessionAffinity":true,"resumable":false,"itlTargetMs":1500}],` +
+		`"services":[{"name":"desk","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false},{"name":"engines",` +
+		`"healthPath":"/health","maxConnections":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":489604}}],` +
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},` +
 		`"tenants":[{"name":"t1","apiKeys":["k1"],"priority":0}]}`
 )
@@ -87,8 +96,7 @@
 
 // Deployment is a node with all that it needs.
 type Deployment struct {
-	Store   *platformfake.Store
-	Servers []*platformfake.Server
+	Store *platformfake.Store
 	// Callers is the address of the node's listener for callers.
 	Callers string
 	Node    *exec.Cmd
@@ -97,13 +105,21 @@
 
 	dir, path, text string
 	stop            context.CancelFunc
+
+	// ctx ends with Close.
+	ctx context.Context
+
+	mu      sync.Mutex
+	servers []*Server
+	// passedOn holds when requests reached a server, by their ids.
+	passedOn map[string]time.Time
 }
 
 // Start starts a deployment with servers of the given options, and returns once the node is ready.
 func Start(servers ...platformfake.ServerOptions) (*Deployment, error) {
-	d := &Deployment{Store: platformfake.NewStore(), Exited: make(chan error, 1)}
+	d := &Deployment{Store: platformfake.NewStore(), Exited: make(chan error, 1), passedOn: make(map[string]time.Time)}
 	ctx, stop := context.WithCancel(context.Background())
-	d.stop = stop
+	d.ctx, d.stop = ctx, stop
 	if err := d.start(ctx, servers); err != nil {
 		d.Close()
 		return nil, errors.Join(ErrCannotRun, err)
@@ -122,13 +138,9 @@
 	}
 	d.Store.Put("op/config", []byte(configuration))
 	for _, options := range servers {
-		server := platformfake.NewServer(options)
-		address, err := serve(server)
-		if err != nil {
+		if err := d.startServer(ctx, options, "127.0.0.1:0"); err != nil {
 			return err
 		}
-		d.Servers = append(d.Servers, server)
-		go d.beat(ctx, options.ID, address)
 	}
 	var own [5]string
 	for i := range own {
@@ -180,6 +192,26 @@
 	return listener.Addr().String(), nil
 }
 
+// readFirst records that a request has reached a server, and lets the handler begin once its body has been read, as backend servers do.
+func (d *Deployment) readFirst(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		d.mu.Lock()
+		d.passedOn[req.Header.Get("Attempt-Id")] = time.Now()
+		d.mu.Unlock()
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// PassedOn returns when each request has reached a server, by its id.
+func (d *Deployment) PassedOn() map[string]time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.passedOn)
+}
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -189,13 +221,69 @@
 	return listener.Addr().String(), listener.Close()
 }
 
+// startServer starts a backend server at an address, which may have port 0, and writes its entry until ctx ends or the server crashes.
+func (d *Deployment) startServer(ctx context.Context, options platformfake.ServerOptions, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	server := platformfake.NewServer(options)
+	own := &Server{Server: server, ID: options.ID, Address: listener.Addr().String(), stop: stop}
+	own.http = &http.Server{Handler: d.readFirst(server)}
+	d.mu.Lock()
+	d.servers = append(d.servers, own)
+	d.mu.Unlock()
+	go func() { _ = own.http.Serve(listener) }()
+	go d.beat(ctx, own, options.Events > 0)
+	return nil
+}
+
+// Server is a backend server.
+type Server struct {
+	*platformfake.Server
+	ID, Address string
+
+	http *http.Server
+	stop context.CancelFunc
+}
+
+// Servers returns all servers that were started.
+func (d *Deployment) Servers() []*Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.servers)
+}
+
+// Crash ends a server's process: its connections are closed and it refuses new ones. It reports false if the server has crashed already. After a
+// time another server with the options starts at its address.
+func (d *Deployment) Crash(id string, down time.Duration, next platformfake.ServerOptions) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := slices.IndexFunc(d.servers, func(s *Server) bool { return s.ID == id })
+	if i < 0 || d.servers[i].stop == nil {
+		return false
+	}
+	crashed := d.servers[i]
+	crashed.stop()
+	crashed.stop = nil
+	_ = crashed.http.Close()
+	time.AfterFunc(down, func() { _ = d.startServer(d.ctx, next, crashed.Address) })
+	time.AfterFunc(expiry, func() { d.Store.Delete("servers/" + id) })
+	return true
+}
+
 // beat writes a server's entry until ctx ends.
-func (d *Deployment) beat(ctx context.Context, id, address string) {
+func (d *Deployment) beat(ctx context.Context, server *Server, isEngine bool) {
+	service := "desk"
+	if isEngine {
+		service = "engines"
+	}
 	born := time.Now().UnixMilli()
 	for sequence := 0; ctx.Err() == nil; sequence++ {
-		d.Store.Put("servers/"+id, fmt.Appendf(nil,
-			`{"service":"desk","address":%q,"zone":"a","version":"v1","slots":16,"state":"ready","warmupLeftMs":0,"sequence":%d,"born":%d}`,
-			address, sequence, born))
+		d.Store.Put("servers/"+server.ID, fmt.Appendf(nil,
+			`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":16,"state":"ready","warmupLeftMs":0,"sequence":%d,"born":%d}`,
+			service, server.Address, sequence, born))
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeat):
@@ -255,30 +343,37 @@
 	return append([]Request(nil), r.requests...)
 }
 
-// Call sends requests that may run once over a kept connection, one after the other, and opens a new connection after an answer with Connection:
-// close. After a 503, which promises that the request has not run, it sends the same order once more. It stops when the node takes no more
-// connections, or stopping is closed.
-func Call(address string, seen *Record, stopping <-chan struct{}) {
+// Caller sends requests that may run once.
+type Caller struct {
+	Address  string
+	Seen     *Record
+	Stopping <-chan struct{}
+}
+
+// Call sends requests over a kept connection, one after the other, and opens a new connection after an answer with Connection: close. After a
+// 503, which promises that the request has not run, it sends the same order once more. It stops when the node takes no more connections, or
+// Stopping is closed.
+func (c *Caller) Call() {
 	again := ""
 	for {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
+		conn, err := net.DialTimeout("tcp", c.Address, time.Second)
 		if err != nil {
 			return
 		}
 		reader := bufio.NewReader(conn)
 		for isOpen := true; isOpen; {
 			select {
-			case <-stopping:
+			case <-c.Stopping:
 				_ = conn.Close()
 				return
 			default:
 			}
-			q := Request{ID: seen.nextID(), Path: again}
+			q := Request{ID: c.Seen.nextID(), Path: again}
 			if again == "" {
 				q.Path = "/orders/" + q.ID
 			}
-			isOpen = exchange(conn, reader, &q)
-			seen.add(q)
+			isOpen = c.exchange(conn, reader, &q)
+			c.Seen.add(q)
 			isRetry := again != ""
 			again = ""
 			if q.Status == http.StatusServiceUnavailable {
@@ -293,9 +388,9 @@
 }
 
 // exchange sends one request and reads its answer; it reports whether the connection may be used again.
-func exchange(conn net.Conn, reader *bufio.Reader, q *Request) bool {
+func (c *Caller) exchange(conn net.Conn, reader *bufio.Reader, q *Request) bool {
 	defer func() { q.Ended = time.Now() }()
-	body := "order " + q.ID
+	body := "order " + q.Path
 	head := "POST " + q.Path + " HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: " + q.ID + "\r\nKey: k1\r\nDeadline-Ms: " +
 		strconv.FormatInt(Deadline.Milliseconds(), 10) + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
 	_ = conn.SetDeadline(time.Now().Add(Deadline + 2*time.Second))
