--- a/review/1/main.go
+++ b/review/1/main.go
@@ -124,7 +124,7 @@
 	}
 	fmt.Fprintf(&out, "%d requests, %d of them under way one second after SIGTERM, %d lost\n", len(seen), inFlight, lost)
 	fmt.Printf("%s; %d requests, %d under way at +1 s, %d lost\n", end, len(seen), inFlight, lost)
-	if err := os.WriteFile(path, []byte(out.String()), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(out.String()), 0o644); err != nil {
 		return 0, errors.Join(standin.ErrCannotRun, err)
 	}
 	if inFlight == 0 || before == 0 {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -216,7 +216,7 @@
 		len(p.crashes), arrivals, late, contact, allowed, seen.ended)
 	out.WriteString(summary)
 	fmt.Print(summary)
-	if err := os.WriteFile(path, []byte(out.String()), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(out.String()), 0o644); err != nil {
 		return 0, errors.Join(standin.ErrCannotRun, err)
 	}
 	if seen.ended[soundPath+": whole"] == 0 {
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -112,7 +112,7 @@
 	summary := fmt.Sprintf("%d requests, %d answered with 200, %d ran and were refused; %d orders ran twice\n", len(seen), answered, broken, twice)
 	out.WriteString(summary)
 	fmt.Print(summary)
-	if err := os.WriteFile(path, []byte(out.String()), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(out.String()), 0o644); err != nil {
 		return 0, errors.Join(standin.ErrCannotRun, err)
 	}
 	if answered == 0 {
