--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -152,7 +152,7 @@
 			}
 		},
 	})
-	n.pool = upstream.NewPool(upstream.Options{Network: opts.Network, AnswerID: platform.AnswerID})
+	n.pool = upstream.NewPool(upstream.Options{Network: opts.Network, AnswerID: platform.AnswerID, CountDial: n.countDial})
 	n.announcer = &nodelist.Announcer{
 		Store: &entryrelay.Store{Direct: n.stores.announcement, Relay: paths.Relay, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
@@ -315,6 +315,11 @@
 	n.metrics.Counter("monsoonrail_edge_store_reads", metric.Label{Name: "path", Value: path}, metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
 }
 
+// countDial counts a connection to a server by the outcome of opening it.
+func (n *Node) countDial(outcome tcp.DialOutcome) {
+	n.metrics.Counter("monsoonrail_edge_server_dials", metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
+}
+
 // countCalls returns a client of the store that counts its calls by the duty that makes them.
 func (n *Node) countCalls(store *platform.Store, duty string) *platform.Store {
 	return store.WithCounter(func(kind platform.CallKind, isFailure bool) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,6 +45,8 @@
 	AnswerID func(header map[string][]string) string
 	// DialTimeout is the timeout for opening a connection; 0 means defaultDialTimeout.
 	DialTimeout time.Duration
+	// CountDial counts the connections opened by outcome; nil counts nothing.
+	CountDial func(outcome tcp.DialOutcome)
 }
 
 // Pool keeps idle connections to servers for reuse; it is safe for concurrent use.
@@ -66,6 +68,9 @@
 	if opts.DialTimeout == 0 {
 		opts.DialTimeout = defaultDialTimeout
 	}
+	if opts.CountDial == nil {
+		opts.CountDial = func(tcp.DialOutcome) {}
+	}
 	return &Pool{opts: opts, idle: make(map[string][]*conn), refusedAt: make(map[string]time.Time)}
 }
 
@@ -115,6 +120,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	opened, err := p.opts.Network.DialContext(dialCtx, "tcp", address)
+	p.opts.CountDial(tcp.OutcomeOfDial(err))
 	if err != nil {
 		p.recordRefusal(address, err)
 		return nil, err
