Draw on the retry budget only for attempts that reach a server

The budget bounds what servers receive. An attempt that was not sent gives its unit back, and the next one is the first to arrive if none has before. The attempts of a request stay bounded by their number.

TestAttemptsThatAreNotSentTakeNoRetryBudget failed before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -273,6 +273,16 @@
 	return answer{id: id, status: resp.StatusCode, header: resp.Header, body: string(text), isFramed: isFramed, err: err}
 }
 
+// scrapeMetrics returns the metrics of a node.
+func (f *testFleet) scrapeMetrics(node int) string {
+	resp, err := f.client.Get("http://" + f.nodes[node].ip + ":84/metrics")
+	f.c.Assert(err, qt.IsNil)
+	text, err := io.ReadAll(resp.Body)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(resp.Body.Close(), qt.IsNil)
+	return string(text)
+}
+
 // executedRuns returns the requests that the servers began to run.
 func (f *testFleet) executedRuns() []platformfake.Run {
 	runs := f.calls.Runs()
@@ -588,11 +598,7 @@
 		f.send(context.Background(), 0, "/c/1", "other")
 		f.calls.SetResponse(http.StatusInternalServerError, false)
 		f.send(context.Background(), 0, "/c/1", "key-1")
-		resp, err := f.client.Get("http://" + f.nodes[0].ip + ":84/metrics")
-		f.c.Assert(err, qt.IsNil)
-		text, err := io.ReadAll(resp.Body)
-		f.c.Assert(err, qt.IsNil)
-		f.c.Assert(resp.Body.Close(), qt.IsNil)
+		text := f.scrapeMetrics(0)
 		for _, line := range []string{
 			`monsoonrail_gateway_requests{route="stream",outcome="request answered"} 1`,
 			`monsoonrail_gateway_team_requests{team="school",outcome="request answered"} 2`,
@@ -605,7 +611,7 @@
 			`monsoonrail_edge_servers 3`,
 			`monsoonrail_edge_nodes 2`,
 		} {
-			f.c.Check(string(text), qt.Contains, line+"\n")
+			f.c.Check(text, qt.Contains, line+"\n")
 		}
 	})
 }
--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -163,3 +163,19 @@
 		})
 	}
 }
+
+// TestAttemptsThatAreNotSentTakeNoRetryBudget guards against a retry budget that is used up by connections that don't open: nothing reached a server.
+func TestAttemptsThatAreNotSentTakeNoRetryBudget(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		for node := range f.nodes {
+			f.network.Refuse(f.nodes[node].ip, "10.2.0.1")
+		}
+		for range 40 {
+			got := f.send(context.Background(), 0, "/c/1", "key-1")
+			f.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+		}
+		f.c.Assert(f.calls.Runs(), qt.HasLen, 0)
+		rejected := f.scrapeMetrics(0)
+		f.c.Assert(strings.Contains(rejected, `reason="retry budget used up"`), qt.IsFalse, qt.Commentf(rejected))
+	})
+}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -115,7 +115,7 @@
 		"sent": !tcp.IsErrNotSent(err),
 	}).WithError(err).Info("offer failed")
 	if tcp.IsErrNotSent(err) {
-		return resultNotRun
+		return resultNotSent
 	}
 	// A lost answer is not counted against the server's version: crashes and broken links occur at all versions and hit many requests
 	// at once.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,6 +33,8 @@
 	answer *callerAnswer
 	// attempts counts all attempts, possibleRuns those after which a server may have run the request.
 	attempts, possibleRuns int
+	// retryCountedAt is when the last retry was counted in the retry budget.
+	retryCountedAt time.Time
 	// triedServers lists the servers of the attempts so far; an escalation to a larger model empties it.
 	triedServers []api.ServerID
 	// usedConns lists the connections over which earlier attempts were answered.
@@ -108,6 +110,8 @@
 const (
 	// resultDone means that the request is finished.
 	resultDone attemptResult = iota
+	// resultNotSent means that no byte of the request was sent to the server.
+	resultNotSent
 	// resultNotRun means that the server did not run the request.
 	resultNotRun
 	// resultMayHaveRun means that the server may have run the request and that the caller has no complete answer.
@@ -140,8 +144,16 @@
 		}
 		d.attempts++
 		d.triedServers = append(d.triedServers, server.ID)
+		result := d.attempt(ctx, server)
+		if result == resultNotSent {
+			if isRetry {
+				d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
+			}
+			sleep.For(ctx, notRunDelay)
+			continue
+		}
 		isRetry = true
-		switch d.attempt(ctx, server) {
+		switch result {
 		case resultDone:
 			return
 		case resultEscalated:
@@ -167,7 +179,8 @@
 	}
 }
 
-// checkAttempt returns nil if another attempt is allowed, and the rejection otherwise. If isRetry is set, it draws on the retry budget.
+// checkAttempt returns nil if another attempt is allowed, and the rejection otherwise. isRetry is set if the request has reached a server before: the attempt then
+// draws on the retry budget.
 func (d *dispatcher) checkAttempt(ctx context.Context, isRetry bool) *rejection {
 	switch {
 	case ctx.Err() != nil:
@@ -189,10 +202,11 @@
 
 // allowRetry draws on the retry budget. A further attempt at a stream that may be complete is optional if the stream may end without it.
 func (d *dispatcher) allowRetry() bool {
+	d.retryCountedAt = time.Now()
 	if d.isUnconfirmed && d.mayEndUnconfirmed() {
-		return d.g.opts.RetryBudget.AllowOptionalRetry(d.service.Name, time.Now())
+		return d.g.opts.RetryBudget.AllowOptionalRetry(d.service.Name, d.retryCountedAt)
 	}
-	return d.g.opts.RetryBudget.AllowRetry(d.service.Name, time.Now())
+	return d.g.opts.RetryBudget.AllowRetry(d.service.Name, d.retryCountedAt)
 }
 
 // handleAnswer decides by the head of an answer whether to forward it or to make another attempt.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -82,6 +82,17 @@
 	return true
 }
 
+// ReturnRetry gives back a retry that was counted at a time, because it did not reach a server.
+func (b *Budget) ReturnRetry(service route.Service, countedAt, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.currentCounts(service, now)
+	bucket, size := b.bucketAt(countedAt), int64(len(c.retries))
+	if bucket > c.newestBucket-size && c.retries[bucket%size] > 0 {
+		c.retries[bucket%size]--
+	}
+}
+
 // limit returns the number of retries allowed in the current window.
 func (b *Budget) limit(c *counts) float64 {
 	return usedFraction * (b.opts.Ratio*sum(c.requests) + b.opts.Slack/float64(max(1, b.opts.NodeCount())))
@@ -110,7 +121,7 @@
 		c = &counts{}
 		b.services[service] = c
 	}
-	currentBucket := now.UnixNano() / int64(b.opts.Window/bucketCount)
+	currentBucket := b.bucketAt(now)
 	for passed := min(currentBucket-c.newestBucket, int64(len(c.requests))); passed > 0; passed-- {
 		i := (currentBucket - passed + 1) % int64(len(c.requests))
 		c.requests[i], c.retries[i], c.optional[i] = 0, 0, 0
@@ -118,3 +129,8 @@
 	c.newestBucket = max(c.newestBucket, currentBucket)
 	return c
 }
+
+// bucketAt returns the number of the bucket of a time.
+func (b *Budget) bucketAt(at time.Time) int64 {
+	return at.UnixNano() / int64(b.opts.Window/bucketCount)
+}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -81,3 +81,29 @@
 	qt.Check(t, optional, qt.Equals, 8)
 	qt.Check(t, needed, qt.Equals, 72)
 }
+
+// TestReturnedRetriesAreAllowedAgain gives retries back at once, after some buckets, and when their bucket has left the window.
+func TestReturnedRetriesAreAllowedAgain(t *testing.T) {
+	const service, window = route.Service("s"), 10 * time.Second
+	budget := retrybudget.New(retrybudget.Options{Slack: 10, Window: window, NodeCount: func() int { return 1 }})
+	begin := time.Unix(1_700_000_000, 0)
+	useUp := func(now time.Time) (allowed int) {
+		for budget.AllowRetry(service, now) {
+			allowed++
+		}
+		return allowed
+	}
+	all := useUp(begin)
+	qt.Assert(t, all > 0, qt.IsTrue)
+	budget.ReturnRetry(service, begin, begin)
+	qt.Assert(t, useUp(begin), qt.Equals, 1)
+	later := begin.Add(window / 2)
+	budget.ReturnRetry(service, begin, later)
+	budget.ReturnRetry(service, begin, later)
+	qt.Assert(t, useUp(later), qt.Equals, 2)
+	budget.ReturnRetry(service, later.Add(-window), later)
+	qt.Assert(t, useUp(later), qt.Equals, 0, qt.Commentf("a retry that was never counted"))
+	muchLater := begin.Add(2 * window)
+	budget.ReturnRetry(service, begin, muchLater)
+	qt.Assert(t, useUp(muchLater), qt.Equals, all, qt.Commentf("the bucket is used again"))
+}
