Resume streams at once when the path to their server falls silent

When a path is found to be silent, requests on it that may be sent again are abandoned if nothing has arrived for 500 ms. That is no failure of the server and no crash. Calls that must run once keep waiting.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,7 +159,8 @@
 	paths := new(tunnel.Paths)
 	n.dialer = tunnel.NewDialer(tunnel.DialerOptions{
 		Network: opts.Network, Paths: paths, Log: opts.Log, CountTunnel: n.countTunnel,
-		Helpers: tunnel.NewHelpers(opts.Settings.Node, opts.Settings.FailureDomain, n.nodes.Load),
+		OnSilent: func() { n.pool.DropSilent() },
+		Helpers:  tunnel.NewHelpers(opts.Settings.Node, opts.Settings.FailureDomain, n.nodes.Load),
 	})
 	n.tunnels = tunnel.NewHandler(tunnel.HandlerOptions{
 		Network: opts.Network, Paths: paths, TakesRequests: n.takesRequests, IsStopping: n.isStopping.Load,
--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -179,3 +179,33 @@
 		f.c.Assert(strings.Contains(rejected, `reason="retry budget used up"`), qt.IsFalse, qt.Commentf(rejected))
 	})
 }
+
+// TestStreamsGoOnSoonAfterAPathFallsSilent guards against streams that wait for a silent path until their longest pause is over: they are resumed at
+// another server, while other requests show that the path is lost. A call that must run once is not sent again.
+func TestStreamsGoOnSoonAfterAPathFallsSilent(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		longPauses := strings.ReplaceAll(string(configurationVersion(2, "key-1")), `"itlTargetMs":500`, `"itlTargetMs":1500`)
+		f.store.Put("op/config", []byte(longPauses))
+		time.Sleep(time.Second)
+		f.checkServed(f.sendMixed(30, 50*time.Millisecond, 0))
+		var running sync.WaitGroup
+		longest := make([]time.Duration, 6)
+		for i := range longest {
+			running.Go(func() {
+				begin := time.Now()
+				got := f.send(context.Background(), 0, fmt.Sprint("/s/long", i), "key-1")
+				longest[i] = time.Since(begin)
+				f.c.Check(got.body, qt.Equals, platformfake.Stream(fmt.Sprint("/s/long", i), 10))
+			})
+		}
+		time.Sleep(250 * time.Millisecond)
+		f.cutNode(0, lostPaths[0])
+		f.sendMixed(30, 50*time.Millisecond, 0)
+		running.Wait()
+		for i, took := range longest {
+			// Without the loss a stream takes a little less than a second.
+			f.c.Check(took < 2200*time.Millisecond, qt.IsTrue, qt.Commentf("stream %d took %s", i, took))
+		}
+		f.checkCallsRanOnce()
+	})
+}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -35,6 +35,7 @@
 	answer, err := d.g.opts.Pool.Send(sendCtx, server.Address, &upstream.Request{
 		ID: string(d.ID), UsedConns: d.usedConns,
 		Method: d.method, Target: d.target, Host: d.host, Header: header, Body: d.body, HasBody: d.hasBody,
+		MayAbandon: !d.isLastAttempt(),
 	})
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -103,8 +104,10 @@
 
 // attemptFailed records an attempt that got no answer, and returns whether the request may have run.
 func (d *dispatcher) attemptFailed(ctx context.Context, server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
-	server.RecordFailure(time.Now())
-	d.countCrash(ctx, server, err, startedAt)
+	if !upstream.IsErrPathSilent(err) {
+		server.RecordFailure(time.Now())
+		d.countCrash(ctx, server, err, startedAt)
+	}
 	if tcp.IsErrNotSent(err) {
 		d.countAttempt(server, outcomeNotRun)
 	} else {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -33,7 +33,7 @@
 	minCheckInterval = time.Second
 )
 
-// DialerOptions configures NewDialer; all fields but Log are required.
+// DialerOptions configures NewDialer; all fields but OnSilent and Log are required.
 type DialerOptions struct {
 	Network tcp.Network
 	Paths   *Paths
@@ -41,6 +41,8 @@
 	Log     log.Interface
 	// CountTunnel counts the connections asked of other nodes by outcome.
 	CountTunnel func(outcome tcp.DialOutcome)
+	// OnSilent is called when a path is found to be silent.
+	OnSilent func()
 }
 
 // Dialer opens connections to servers, through other nodes where this node's own paths are lost. Close must be called.
@@ -60,6 +62,9 @@
 // NewDialer returns a Dialer.
 func NewDialer(opts DialerOptions) *Dialer {
 	opts.Log = eventlog.OrDiscard(opts.Log)
+	if opts.OnSilent == nil {
+		opts.OnSilent = func() {}
+	}
 	d := &Dialer{opts: opts}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -224,8 +224,12 @@
 	if outcome := tcp.OutcomeOfDial(r.ownErr); outcome == tcp.DialRefused || outcome == tcp.DialFailed {
 		loss = Refused
 	}
-	if r.d.opts.Paths.Lost(r.address, loss, now) {
-		r.d.logPath("path to server lost", r.address, log.Fields{"loss": loss.String(), "via": string(r.winner)})
+	if !r.d.opts.Paths.Lost(r.address, loss, now) {
+		return
+	}
+	r.d.logPath("path to server lost", r.address, log.Fields{"loss": loss.String(), "via": string(r.winner)})
+	if loss == Silent {
+		r.d.opts.OnSilent()
 	}
 }
 
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -25,6 +25,21 @@
 	return errors.As(err, &target)
 }
 
+// ErrPathSilent means that a request was abandoned because the path to its server is silent, which says nothing of the server.
+type ErrPathSilent struct{ Cause error }
+
+// Error implements error.
+func (e *ErrPathSilent) Error() string { return fmt.Sprintf("path to server silent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ErrPathSilent) Unwrap() error { return e.Cause }
+
+// IsErrPathSilent reports whether err is an ErrPathSilent.
+func IsErrPathSilent(err error) bool {
+	var target *ErrPathSilent
+	return errors.As(err, &target)
+}
+
 // ErrAnswerMismatch means that the answers received on a connection belong to other requests.
 type ErrAnswerMismatch struct {
 	// Wanted is the id of the request, Got the request id that the last answer names.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -37,6 +37,8 @@
 	Body   []byte
 	// HasBody means that the caller sent a body, which may be empty.
 	HasBody bool
+	// MayAbandon means that the request may be sent to another server if the path to the first one falls silent.
+	MayAbandon bool
 }
 
 // Answer is the head of a server's answer with a reader of its body. Close must be called.
@@ -69,6 +71,7 @@
 			}
 		}
 		stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
+		p.begin(c, req)
 		n, err := c.Write(encoded)
 		if err == nil {
 			if c.reused {
@@ -77,6 +80,7 @@
 			return p.awaitHead(c, stopWatch, req)
 		}
 		stopWatch()
+		p.end(c)
 		_ = c.Close()
 		if n > 0 {
 			return nil, Error.Wrap(&ErrNoAnswer{Cause: err})
@@ -92,6 +96,7 @@
 func (p *Pool) awaitHead(c *conn, stopWatch func() bool, req *Request) (*Answer, error) {
 	fail := func(err error) (*Answer, error) {
 		stopWatch()
+		p.end(c)
 		_ = c.Close()
 		return nil, Error.Wrap(&ErrNoAnswer{Cause: err})
 	}
@@ -167,6 +172,7 @@
 	c := a.conn
 	a.conn = nil
 	isOpen := a.stopWatch()
+	a.pool.end(c)
 	if !isOpen || !a.isComplete || a.resp.Close || a.Framing() == framing.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,8 @@
 	sweepInterval = time.Second
 	// quietTimeout is the time without a byte from any server after which the path of a kept connection is checked.
 	quietTimeout = 300 * time.Millisecond
+	// silentTimeout is the time without a byte after which a request on a silent path is abandoned.
+	silentTimeout = 500 * time.Millisecond
 	// refusalTTL is how long refused connections are remembered: longer than requests take.
 	refusalTTL = time.Minute
 )
@@ -63,6 +65,8 @@
 	// idle holds the idle connections by address, the most recently used one last.
 	idle   map[string][]*conn
 	closed bool
+	// active holds the connections with a request that may be abandoned.
+	active map[*conn]struct{}
 	// refusedAt holds when each address last refused a connection, for refusalTTL.
 	refusedAt map[string]time.Time
 	// lastID is the id of the connection that was opened last.
@@ -85,7 +89,7 @@
 	if opts.CheckPath == nil {
 		opts.CheckPath = func(string) {}
 	}
-	return &Pool{opts: opts, idle: make(map[string][]*conn), refusedAt: make(map[string]time.Time)}
+	return &Pool{opts: opts, idle: make(map[string][]*conn), active: make(map[*conn]struct{}), refusedAt: make(map[string]time.Time)}
 }
 
 // ConnID identifies a connection of a pool.
@@ -99,6 +103,10 @@
 	reader  *bufio.Reader
 	// head bounds the bytes that the reader gets while it reads a head.
 	head *headLimiter
+	// lastReceived is when bytes last arrived, or when the last request was sent if that is later, in Unix nanoseconds.
+	lastReceived atomic.Int64
+	// isDropped is set if the connection was closed because its path is silent.
+	isDropped atomic.Bool
 	// reused means that an earlier request was answered on the connection.
 	reused bool
 	// idleUntil is when the connection expires; set while it is idle.
@@ -139,25 +147,73 @@
 		p.recordRefusal(address, err)
 		return nil, err
 	}
-	head := &headLimiter{next: &receiver{Reader: opened, pool: p}}
-	return &conn{Conn: opened, id: ConnID(p.lastID.Add(1)), address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	c := &conn{Conn: opened, id: ConnID(p.lastID.Add(1)), address: address}
+	c.head = &headLimiter{next: &receiver{conn: c, pool: p}}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
+	return c, nil
 }
 
-// receiver records when bytes arrive.
+// receiver reads from a connection and records when bytes arrive.
 type receiver struct {
-	io.Reader
+	conn *conn
 	pool *Pool
 }
 
 // Read implements io.Reader.
 func (r *receiver) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	n, err := r.conn.Conn.Read(p)
 	if n > 0 {
-		r.pool.lastReceived.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		r.pool.lastReceived.Store(now)
+		r.conn.lastReceived.Store(now)
+	}
+	if err != nil && r.conn.isDropped.Load() {
+		err = &ErrPathSilent{Cause: err}
 	}
 	return n, err
 }
 
+// DropSilent closes the connections on silent paths on which nothing has arrived for silentTimeout, and later those on which nothing arrives from now on, if their
+// requests may be abandoned. It is called when a path is found to be silent.
+func (p *Pool) DropSilent() {
+	p.dropSilent()
+	time.AfterFunc(silentTimeout, p.dropSilent)
+}
+
+func (p *Pool) dropSilent() {
+	since := time.Now().Add(-silentTimeout).UnixNano()
+	var silent []*conn
+	p.mu.Lock()
+	for c := range p.active {
+		if c.lastReceived.Load() <= since && !p.opts.IsUsable(c.Conn, c.address) {
+			silent = append(silent, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range silent {
+		c.isDropped.Store(true)
+		_ = c.Close()
+	}
+}
+
+// begin records that a request is sent on a connection.
+func (p *Pool) begin(c *conn, req *Request) {
+	c.lastReceived.Store(time.Now().UnixNano())
+	if !req.MayAbandon {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active[c] = struct{}{}
+}
+
+// end records that the request on a connection has ended.
+func (p *Pool) end(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.active, c)
+}
+
 // watchSilence checks the path of a kept connection on which a request was just sent if nothing arrives from any server for quietTimeout. Many answers take
 // longer, but rarely all of them at the same time. The returned function ends the watch.
 func (p *Pool) watchSilence(address string) (end func() bool) {
