Tell a node what a server said in an answer that came through it

A server that asks for a pause means the machine from which it got the request.

The node that reads the answer now tells the relaying one at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/mirror"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
 	"github.com/monsoonrail/monsoonrail/internal/relay"
+	"github.com/monsoonrail/monsoonrail/internal/reportrelay"
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
 	"github.com/monsoonrail/monsoonrail/internal/rolloutrpc"
 	"github.com/monsoonrail/monsoonrail/internal/route"
@@ -114,6 +115,8 @@
 	nodePeak nodelist.Peak
 	// reports holds the reports of servers that other nodes should know.
 	reports selfreport.Outbox
+	// relayedReports holds the reports for the nodes through which they came.
+	relayedReports chan relayedReport
 	// isStopping is set once the shutdown has begun.
 	isStopping atomic.Bool
 }
@@ -125,7 +128,7 @@
 
 // New returns a node; it makes no calls and opens no listeners until Run is called.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain}), collectors: make(map[route.Service][]nodelist.Node)}
+	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain}), collectors: make(map[route.Service][]nodelist.Node), relayedReports: make(chan relayedReport, maxRelayedReports)}
 	n.crashes = crashes.NewTracker(crashes.Options{ProbeDelay: n.probeDelay, RewriteDelay: n.rewriteDelay})
 	n.settings.Store(&opts.Settings)
 	n.nodes.Store(&[]nodelist.Node{})
@@ -193,8 +196,8 @@
 		Crashes:      n.crashes,
 		AnswerMemory: n.answerMemory,
 		ModelPolicy:  gateway.Cascade{MinConfidence: []int{60, 55, 45}}, FailureDomain: opts.Settings.FailureDomain, NodeCount: n.countNodes, RecentNodeCount: n.countRecentNodes,
-		Reports: &n.reports,
-		Log:     opts.Log, Metrics: n.metrics,
+		Reports: &n.reports, RelayReport: n.relayReport,
+		Log: opts.Log, Metrics: n.metrics,
 	})
 	return n
 }
@@ -221,6 +224,7 @@
 	super.Add(supervisor.Duty{Name: "roll-outs", Run: n.runRollouts})
 	super.Add(supervisor.Duty{Name: "crash-reports", Run: n.shareCrashReports})
 	super.Add(supervisor.Duty{Name: "server-reports", Run: n.shareReports})
+	super.Add(supervisor.Duty{Name: "relayed-reports", Run: n.tellRelayedReports})
 	super.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
 		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
 	}})
@@ -320,6 +324,7 @@
 	relay.Handle(mux, n.mirror)
 	rolloutrpc.Handle(mux, n.rollouts)
 	entryrelay.Handle(mux, n.stores.relayedEntries)
+	reportrelay.Handle(mux, n.hearRelayedReport)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodConnect {
 			n.tunnels.ServeHTTP(w, req)
--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -209,3 +209,69 @@
 		f.checkCallsRanOnce()
 	})
 }
+
+// TestPauseHoldsForTheNodeThatRelayedTheAnswer lets a server ask for a pause in an answer that reaches a node through another one: the server means the other
+// node, from which the request came, so that its own requests wait, too.
+func TestPauseHoldsForTheNodeThatRelayedTheAnswer(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		f.cutNode(0, lostPaths[2])
+		f.sendMixed(9, 50*time.Millisecond, 0)
+		f.calls.SetReports(http.Header{"Retry-After": {"5"}})
+		f.calls.SetResponse(http.StatusServiceUnavailable, true)
+		f.send(context.Background(), 0, "/c/1", "key-1")
+		pausedAt := time.Now()
+		f.calls.SetReports(nil)
+		f.calls.SetResponse(http.StatusOK, false)
+		for pausedAt.Add(4 * time.Second).After(time.Now()) {
+			f.send(context.Background(), 1, "/c/1", "key-1")
+			time.Sleep(100 * time.Millisecond)
+		}
+		late := 0
+		for _, arrival := range f.calls.ListArrivals() {
+			if arrival.At.Sub(pausedAt) > 500*time.Millisecond {
+				late++
+			}
+		}
+		f.c.Check(late, qt.Equals, 0)
+		time.Sleep(2 * time.Second)
+		f.c.Check(f.send(context.Background(), 1, "/c/1", "key-1").status, qt.Equals, http.StatusOK)
+	})
+}
+
+// TestServersThatAreSilentForASecond lets all sound servers fall silent for a little over a second and go on: no request runs twice, fails or is held back, and no
+// path counts as lost.
+func TestServersThatAreSilentForASecond(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		longPauses := strings.ReplaceAll(string(configurationVersion(2, "key-1")), `"itlTargetMs":500`, `"itlTargetMs":1500`)
+		f.store.Put("op/config", []byte(longPauses))
+		time.Sleep(time.Second)
+		var answers []answer
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			answers = f.sendMixed(60, 50*time.Millisecond, 0, 1)
+		}()
+		time.Sleep(time.Second)
+		for _, ip := range f.serverIPs() {
+			f.network.Pause(ip)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for _, ip := range f.serverIPs() {
+			f.network.Resume(ip)
+		}
+		<-done
+		f.checkServed(answers)
+		runs := make(map[string]int)
+		for _, server := range f.models {
+			for _, run := range server.Runs() {
+				runs[run.ID]++
+			}
+		}
+		for id, count := range runs {
+			f.c.Check(count, qt.Equals, 1, qt.Commentf(id))
+		}
+		for node := range f.nodes {
+			f.c.Check(f.scrapeMetrics(node), qt.Not(qt.Contains), `monsoonrail_edge_server_tunnels{outcome="opened"}`)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,8 +93,10 @@
 	RecentNodeCount func() int
 	// Reports takes the servers' reports that other nodes should know.
 	Reports *selfreport.Outbox
-	Log     log.Interface
-	Metrics *metric.Set
+	// RelayReport tells the node through which an answer came, by the "IP:port" of its listener for other nodes, what the server reported in it.
+	RelayReport func(peers string, report selfreport.Shared)
+	Log         log.Interface
+	Metrics     *metric.Set
 }
 
 // Gateway is the HTTP handler of callers' requests.
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -53,7 +53,7 @@
 }
 
 // recordReport records what a server reported about itself in the answer to an attempt made at sentAt.
-func (d *dispatcher) recordReport(server *backend.TrackedServer, report selfreport.Report, sentAt, now time.Time) {
+func (d *dispatcher) recordReport(server *backend.TrackedServer, answer *upstream.Answer, report selfreport.Report, sentAt, now time.Time) {
 	share := selfreport.NewShare(d.g.opts.Node, server.ID, d.g.opts.RecentNodeCount())
 	change := server.RecordReport(report, share, sentAt, now)
 	if !change.IsNews() {
@@ -62,6 +62,11 @@
 	if change.ConcernsAllNodes() && server.Start != 0 {
 		d.g.opts.Reports.Put(server.SharedReport())
 	}
+	if relay := answer.RelayedBy(); relay != "" && server.Start != 0 {
+		told := server.SharedReport()
+		told.Pause = report.Pause
+		d.g.opts.RelayReport(relay, told)
+	}
 	decision := server.Admission(share.Nodes, now)
 	fields := log.Fields{
 		"request": string(d.ID), "server": string(server.ID), "service": string(d.service.Name), "verdict": decision.Verdict.String(),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -222,7 +222,7 @@
 	d.isFillAttempt = d.isFillAttempt && !d.isLightLoad()
 	if answer.Status != http.StatusMisdirectedRequest {
 		// By this status, another server at the address answers for itself.
-		d.recordReport(server, info.Report, startedAt, now)
+		d.recordReport(server, answer, info.Report, startedAt, now)
 	}
 	if info.IsNotRun || answer.Status == http.StatusMisdirectedRequest {
 		return d.attemptNotRun(server, answer, info)
--- a/internal/selfreport/shared.go
+++ b/internal/selfreport/shared.go
@@ -36,6 +36,8 @@
 	// Limit is valid if HasLimit. Otherwise the server names no limit any more.
 	Limit    Rate
 	HasLimit bool
+	// Pause is how long the server wants no requests from the node that is told; 0 in reports for all nodes.
+	Pause time.Duration `json:",omitempty"`
 }
 
 // Key returns the report's key in the store. It has a hash, since ids of servers may be as long as keys.
@@ -57,12 +59,21 @@
 	return "limit of " + strconv.FormatFloat(float64(e.Limit), 'g', -1, 64)
 }
 
+// ErrBadPause means that a report's pause is negative.
+type ErrBadPause struct{ Pause time.Duration }
+
+// Error implements error.
+func (e *ErrBadPause) Error() string { return "pause of " + e.Pause.String() }
+
 // DecodeShared decodes the value of a key with KeyPrefix.
 func DecodeShared(value []byte) (Shared, error) {
 	var shared Shared
 	if err := json.Unmarshal(value, &shared); err != nil {
 		return Shared{}, Error.Wrap(err)
 	}
+	if shared.Pause < 0 {
+		return Shared{}, Error.Wrap(&ErrBadPause{Pause: shared.Pause})
+	}
 	if shared.Limit < 0 || math.IsInf(float64(shared.Limit), 0) {
 		return Shared{}, Error.Wrap(&ErrBadLimit{Limit: shared.Limit})
 	}
@@ -79,6 +90,9 @@
 func (s *State) Hear(shared Shared, share Share, now time.Time) (isNews bool) {
 	isNews = shared.IsLeaving && !s.IsLeaving()
 	s.isLeaving = s.isLeaving || shared.IsLeaving
+	if end := now.Add(min(shared.Pause, maxPause)); shared.Pause > 0 && end.After(s.pausedUntil) {
+		s.pausedUntil, isNews = end, true
+	}
 	switch {
 	case shared.HasLimit && !s.limit.isSet():
 		s.limit.begin(shared.Limit, share, now)
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -89,6 +89,9 @@
 // NetConn returns the connection to the other node.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// RelayedBy returns the "IP:port" of the other node.
+func (c *Conn) RelayedBy() string { return c.Via.Peers }
+
 // IsUsable reports whether an open connection to a server may be used for a further request: one of this node's own unless its path is silent, one through
 // another node as long as that node is listed.
 func (d *Dialer) IsUsable(conn net.Conn, address string) bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -160,6 +160,14 @@
 // ConnID returns the connection over which the answer comes.
 func (a *Answer) ConnID() ConnID { return a.conn.id }
 
+// RelayedBy returns the "IP:port" of the node through which the answer comes; empty if it comes from the server directly.
+func (a *Answer) RelayedBy() string {
+	if relayed, ok := a.conn.Conn.(interface{ RelayedBy() string }); ok {
+		return relayed.RelayedBy()
+	}
+	return ""
+}
+
 // Framing returns how the body shows where it ends.
 func (a *Answer) Framing() framing.Framing { return framing.OfResponse(a.resp) }
 
