Bound the connections that nodes ask of each other

A node that is slow itself, as one whose share of a core is used up, opens all of its connections slowly: no more than eight of them are asked of other nodes at the same time, and only after 200 ms. A server that refuses the connections of several nodes is asked through others once for half a second, so that a crashed or overloaded server doesn't get three times as many connections.

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -19,16 +19,22 @@
 )
 
 const (
-	// detourDelay is how long a node waits for a connection of its own before it also asks another node for one, and between two nodes that it asks.
-	detourDelay = 100 * time.Millisecond
+	// detourDelay is how long a node waits for a connection of its own before it also asks another node for one. A node whose share of a core is used up may stand
+	// still for a tenth of a second.
+	detourDelay = 200 * time.Millisecond
+	// askDelay is the time between two nodes that are asked.
+	askDelay = 100 * time.Millisecond
 	// ownTimeout bounds the time in which a node opens a connection of its own while it asks other nodes for one.
-	ownTimeout = 300 * time.Millisecond
+	ownTimeout = 400 * time.Millisecond
 	// dialTimeout bounds the time in which a connection is opened at all.
 	dialTimeout = 500 * time.Millisecond
 	// maxHelpersAsked bounds the nodes that are asked for one connection.
 	maxHelpersAsked = 4
 	// refusalsNeeded is the number of other nodes that must be refused, too, before a server counts as refusing connections.
 	refusalsNeeded = 2
+	// maxSlowDials bounds the own attempts that are slow, but have not failed, for which other nodes are asked at the same time: on a node that is slow itself, all
+	// attempts are.
+	maxSlowDials = 8
 	// minCheckInterval is the minimum time between two checks of a path.
 	minCheckInterval = time.Second
 )
@@ -56,6 +62,8 @@
 	mu sync.Mutex
 	// nextCheck is when a path may be checked again.
 	nextCheck time.Time
+	// slowDials counts the slow own attempts for which other nodes are asked.
+	slowDials int
 	isClosed  bool
 }
 
@@ -157,6 +165,23 @@
 	return r
 }
 
+// beginSlowDial counts a slow own attempt, and reports false if there are too many.
+func (d *Dialer) beginSlowDial() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.slowDials >= maxSlowDials {
+		return false
+	}
+	d.slowDials++
+	return true
+}
+
+func (d *Dialer) endSlowDial() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slowDials--
+}
+
 // logPath logs that a path is lost or usable again.
 func (d *Dialer) logPath(message, address string, fields log.Fields) {
 	d.opts.Log.WithFields(fields).WithFields(log.Fields{"address": address, "all_lost": d.opts.Paths.AreAllLost()}).Info(message)
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -14,6 +14,8 @@
 	minLostPaths = 2
 	// probeInterval is the interval at which a lost path is tried again, if a connection is wanted.
 	probeInterval = 500 * time.Millisecond
+	// refusedTTL is how long a server that refused connections of several nodes counts as doing so.
+	refusedTTL = 500 * time.Millisecond
 	// lostTTL is how long a path that isn't tried stays lost.
 	lostTTL = time.Minute
 )
@@ -42,6 +44,8 @@
 	mu sync.Mutex
 	// lost holds the lost paths by the server's address.
 	lost map[string]*lostPath
+	// refusedAt holds, by address, when servers refused connections of several nodes, for refusedTTL.
+	refusedAt map[string]time.Time
 	// lostInARow counts the paths found to be lost since this node last opened a connection to a server, silentInARow the silent ones of them.
 	lostInARow, silentInARow int
 	// nextProbe is when the next path is tried again while all are lost.
@@ -119,6 +123,25 @@
 	return true
 }
 
+// Refused records that a server refuses connections of several nodes.
+func (p *Paths) Refused(address string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refusedAt == nil {
+		p.refusedAt = make(map[string]time.Time)
+	}
+	maps.DeleteFunc(p.refusedAt, func(_ string, at time.Time) bool { return now.Sub(at) > refusedTTL })
+	p.refusedAt[address] = now
+}
+
+// WasRefused reports whether a server has just refused connections of several nodes, so that another refusal needs no other node to confirm it.
+func (p *Paths) WasRefused(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.refusedAt[address]
+	return ok && now.Sub(at) <= refusedTTL
+}
+
 // AreAllLost reports whether the paths to all servers count as lost.
 func (p *Paths) AreAllLost() bool {
 	p.mu.Lock()
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -34,6 +34,8 @@
 	ownStarted bool
 	// ownErr is why the own attempt failed; nil before.
 	ownErr error
+	// isSlow is set while the own attempt is counted as a slow one.
+	isSlow bool
 	// winner is the node through which the connection was opened; empty if there is none.
 	winner api.NodeID
 }
@@ -60,7 +62,16 @@
 	ownCtx, endOwn := context.WithTimeout(r.d.ctx, dialTimeout)
 	defer endOwn()
 	r.askedAt = make(map[api.NodeID]time.Time)
-	detour := time.NewTimer(detourDelay)
+	defer func() {
+		if r.isSlow {
+			r.d.endSlowDial()
+		}
+	}()
+	delay := detourDelay
+	if r.plan.IsLost {
+		delay = askDelay
+	}
+	detour := time.NewTimer(delay)
 	defer detour.Stop()
 	ownEnd := time.NewTimer(ownTimeout)
 	defer ownEnd.Stop()
@@ -84,10 +95,10 @@
 				endHelp()
 			}
 		case <-detour.C:
-			if !r.isDecided {
+			if !r.isDecided && r.mayDetour() {
 				r.askNext(helpCtx)
-				detour.Reset(detourDelay)
 			}
+			detour.Reset(askDelay)
 		case <-ownEnd.C:
 			if r.winner != "" {
 				endOwn()
@@ -103,6 +114,15 @@
 	}
 }
 
+// mayDetour reports whether another node may be asked although the own attempt has not failed.
+func (r *race) mayDetour() bool {
+	if r.plan.IsLost || r.ownErr != nil || r.isSlow {
+		return true
+	}
+	r.isSlow = r.d.beginSlowDial()
+	return r.isSlow
+}
+
 // tryOwn starts the own attempt, and reports false if it was started before.
 func (r *race) tryOwn(ctx context.Context) bool {
 	if r.ownStarted {
@@ -159,7 +179,7 @@
 		r.winner = got.helper
 		for id, at := range r.askedAt {
 			// Nodes that were asked well before and have not answered may have lost their paths, too.
-			if now.Sub(at) >= detourDelay {
+			if now.Sub(at) >= askDelay {
 				r.d.opts.Helpers.Avoid(id, now)
 			}
 		}
@@ -168,6 +188,7 @@
 	case tcp.DialRefused:
 		r.refusals++
 		if r.isRefused() {
+			r.d.opts.Paths.Refused(r.address, now)
 			r.decide(result{err: r.ownErr})
 			return
 		}
@@ -201,8 +222,9 @@
 		return
 	}
 	r.ownErr = got.err
-	r.recordLoss(time.Now())
-	if r.isRefused() {
+	now := time.Now()
+	r.recordLoss(now)
+	if isRefused := tcp.OutcomeOfDial(got.err) == tcp.DialRefused; isRefused && r.d.opts.Paths.WasRefused(r.address, now) || r.isRefused() {
 		r.decide(result{err: r.ownErr})
 	}
 	if len(r.asked) == 0 {
