--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -30,6 +30,10 @@
 		network.Reset(node, server)
 	}},
 	{"unreachable and reset", (*memnet.Network).Cut},
+	{"one way, answers are lost", func(network *memnet.Network, node, server string) {
+		network.BlackholeDials(node, server)
+		network.SilenceOneWay(server, node)
+	}},
 }
 
 // serverIPs returns the addresses of all servers.
