Find silent paths by the calls that wait on them

A call whose answer has not begun after twice its target latency, 0.3 s at least, has the path of its connection checked; four paths a second at most.

TestSilentPathToOneServiceIsFoundByItsCalls failed before.

--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -279,3 +279,40 @@
 		}
 	})
 }
+
+// TestSilentPathToOneServiceIsFoundByItsCalls guards against calls that are lost, one after the other, on kept connections over a silent path, while streams of
+// another service go on: a second after the loss, calls must reach their server.
+func TestSilentPathToOneServiceIsFoundByItsCalls(t *testing.T) {
+	const maxDetection = time.Second
+	withTestFleet(t, func(f *testFleet) {
+		var running sync.WaitGroup
+		send := func(count int, path string, each func(i int, sentAt time.Time, got answer)) {
+			for i := range count {
+				running.Go(func() {
+					sentAt := time.Now()
+					each(i, sentAt, f.send(context.Background(), 0, fmt.Sprint(path, i), "key-1"))
+				})
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		// Calls at the same time leave several kept connections behind.
+		for range 30 {
+			running.Go(func() { f.send(context.Background(), 0, "/c/warm", "key-1") })
+		}
+		running.Wait()
+		go send(60, "/s/", func(i int, _ time.Time, got answer) {
+			f.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("stream %d", i))
+		})
+		time.Sleep(500 * time.Millisecond)
+		f.network.Blackhole(f.nodes[0].ip, "10.2.0.1")
+		cutAt := time.Now()
+		send(40, "/c/", func(i int, sentAt time.Time, got answer) {
+			if sentAt.Sub(cutAt) > maxDetection {
+				f.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("call %d, %s after the loss", i, sentAt.Sub(cutAt)))
+			}
+		})
+		time.Sleep(2 * time.Second)
+		running.Wait()
+		f.checkCallsRanOnce()
+	})
+}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
+	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
@@ -35,7 +36,7 @@
 	answer, err := d.g.opts.Pool.Send(sendCtx, server.Address, &upstream.Request{
 		ID: string(d.ID), UsedConns: d.usedConns,
 		Method: d.method, Target: d.target, Host: d.host, Header: header, Body: d.body, HasBody: d.hasBody,
-		MayAbandon: !d.isLastAttempt(),
+		MayAbandon: !d.isLastAttempt(), QuietTimeout: d.quietTimeout(),
 	})
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -100,6 +101,14 @@
 	return min(timeout, remaining)
 }
 
+// quietTimeout returns the time after which it is unusual that the answer to a call has not begun; 0 for streams, whose servers read the prompt first.
+func (d *dispatcher) quietTimeout() time.Duration {
+	if d.route.Kind == route.KindStream {
+		return 0
+	}
+	return answerTimeoutFactor * d.route.TargetLatency
+}
+
 const (
 	// answerTimeoutFactor times the route's target latency is the wait before a repeatable request is sent to another server.
 	answerTimeoutFactor = 2
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -35,8 +36,9 @@
 	// maxSlowDials bounds the own attempts that are slow, but have not failed, for which other nodes are asked at the same time: on a node that is slow itself, all
 	// attempts are.
 	maxSlowDials = 8
-	// minCheckInterval is the minimum time between two checks of a path.
+	// minCheckInterval is the minimum time between two checks of a path, maxChecks the number of paths that are checked in that time at most.
 	minCheckInterval = time.Second
+	maxChecks        = 4
 )
 
 // DialerOptions configures NewDialer; all fields but OnSilent and Log are required.
@@ -60,8 +62,8 @@
 	running sync.WaitGroup
 
 	mu sync.Mutex
-	// nextCheck is when a path may be checked again.
-	nextCheck time.Time
+	// checkedAt holds when paths were checked within minCheckInterval, by address; at most maxChecks.
+	checkedAt map[string]time.Time
 	// slowDials counts the slow own attempts for which other nodes are asked.
 	slowDials int
 	isClosed  bool
@@ -73,7 +75,7 @@
 	if opts.OnSilent == nil {
 		opts.OnSilent = func() {}
 	}
-	d := &Dialer{opts: opts}
+	d := &Dialer{opts: opts, checkedAt: make(map[string]time.Time)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -114,14 +116,7 @@
 
 // Check finds out in the background whether this node's path to a server is lost, as when a connection to it is silent.
 func (d *Dialer) Check(address string) {
-	now := time.Now()
-	d.mu.Lock()
-	isDue := !now.Before(d.nextCheck)
-	if isDue {
-		d.nextCheck = now.Add(minCheckInterval)
-	}
-	d.mu.Unlock()
-	if !isDue {
+	if !d.isCheckDue(address, time.Now()) {
 		return
 	}
 	if r := d.begin(d.ctx, address); r != nil {
@@ -130,6 +125,18 @@
 	}
 }
 
+// isCheckDue reports whether a path may be checked, and counts the check if so.
+func (d *Dialer) isCheckDue(address string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.checkedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= minCheckInterval })
+	if _, isRecent := d.checkedAt[address]; isRecent || len(d.checkedAt) >= maxChecks {
+		return false
+	}
+	d.checkedAt[address] = now
+	return true
+}
+
 // Listen implements tcp.Network.
 func (d *Dialer) Listen(ctx context.Context, address string) (net.Listener, error) {
 	return d.opts.Network.Listen(ctx, address)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -39,6 +39,8 @@
 	HasBody bool
 	// MayAbandon means that the request may be sent to another server if the path to the first one falls silent.
 	MayAbandon bool
+	// QuietTimeout is the time after which it is unusual that no answer has begun; 0 if answers may take any time.
+	QuietTimeout time.Duration
 }
 
 // Answer is the head of a server's answer with a reader of its body. Close must be called.
@@ -75,7 +77,7 @@
 		n, err := c.Write(encoded)
 		if err == nil {
 			if c.reused {
-				defer p.watchSilence(address)()
+				defer p.watchSilence(address, req)()
 			}
 			return p.awaitHead(c, stopWatch, req)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,7 +34,7 @@
 	maxHeadBytes = 64 << 10
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
-	// quietTimeout is the time without a byte from any server after which the path of a kept connection is checked.
+	// quietTimeout is the shortest time without a byte after which the path of a kept connection is checked.
 	quietTimeout = 300 * time.Millisecond
 	// silentTimeout is the time without a byte after which a request on a silent path is abandoned.
 	silentTimeout = 500 * time.Millisecond
@@ -53,7 +53,7 @@
 	CountDial func(outcome tcp.DialOutcome)
 	// IsUsable reports whether an open connection to a server may be used for a further request; nil means always.
 	IsUsable func(conn net.Conn, address string) bool
-	// CheckPath is called when a kept connection has been silent since a request was sent on it, as have all others; nil does nothing.
+	// CheckPath is called when a kept connection has been silent for unusually long since a request was sent on it; nil does nothing.
 	CheckPath func(address string)
 }
 
@@ -214,9 +214,12 @@
 	delete(p.active, c)
 }
 
-// watchSilence checks the path of a kept connection on which a request was just sent if nothing arrives from any server for quietTimeout. Many answers take
-// longer, but rarely all of them at the same time. The returned function ends the watch.
-func (p *Pool) watchSilence(address string) (end func() bool) {
+// watchSilence checks the path of a kept connection on which a request was just sent: if no answer begins for the request's QuietTimeout, or else if nothing arrives
+// from any server for quietTimeout. Many answers take longer than that, but rarely all of them at the same time. The returned function ends the watch.
+func (p *Pool) watchSilence(address string, req *Request) (end func() bool) {
+	if req.QuietTimeout > 0 {
+		return time.AfterFunc(max(quietTimeout, req.QuietTimeout), func() { p.opts.CheckPath(address) }).Stop
+	}
 	sentAt := time.Now().UnixNano()
 	return time.AfterFunc(quietTimeout, func() {
 		if p.lastReceived.Load() < sentAt {
