Ask once whether a server refuses connections after a crash

The requests share one answer now. TestCrashIsConfirmedByOneConnection failed before (51 connections).

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
@@ -69,6 +71,8 @@
 	active map[*conn]struct{}
 	// refusedAt holds when each address last refused a connection, for refusalTTL.
 	refusedAt map[string]time.Time
+	// refusals are the answers to IsRefused that are awaited, by address.
+	refusals singleflight.Group
 	// lastID is the id of the connection that was opened last.
 	lastID atomic.Uint64
 	// lastReceived is when bytes last arrived from any server, in Unix nanoseconds.
@@ -229,16 +233,26 @@
 }
 
 // IsRefused reports whether the server refuses new connections, as after a crash of its process. A server that accepts them, or can't be
-// reached, does not.
+// reached, does not. All requests that a crash breaks off ask at the same moment, and share the answer.
 func (p *Pool) IsRefused(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
-	defer cancel()
-	opened, err := p.opts.Network.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = opened.Close()
+	asked := p.refusals.DoChan(address, func() (any, error) {
+		// The answer is of use to the others, too, if this request ends first.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.opts.DialTimeout)
+		defer cancel()
+		opened, err := p.opts.Network.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = opened.Close()
+		}
+		p.recordRefusal(address, err)
+		return isRefusal(err), nil
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case answer := <-asked:
+		isRefused, _ := answer.Val.(bool)
+		return isRefused
 	}
-	p.recordRefusal(address, err)
-	return isRefusal(err)
 }
 
 func isRefusal(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,7 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -332,3 +336,33 @@
 	pool.Sweep(time.Now().Add(time.Hour))
 	qt.Check(t, pool.WasRefused(address, begin), qt.IsFalse)
 }
+
+// refusingNetwork refuses all connections after a while, and counts them.
+type refusingNetwork struct {
+	tcp.System
+	dials atomic.Int64
+}
+
+func (n *refusingNetwork) DialContext(context.Context, string, string) (net.Conn, error) {
+	n.dials.Add(1)
+	time.Sleep(100 * time.Millisecond)
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
+// TestCrashIsConfirmedByOneConnection lets many requests whose server has crashed ask at the same time whether it refuses connections.
+func TestCrashIsConfirmedByOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := new(refusingNetwork)
+		pool := upstream.NewPool(upstream.Options{Network: network, AnswerID: func(map[string][]string) string { return "" }})
+		defer pool.Close()
+		var running sync.WaitGroup
+		for range 50 {
+			running.Go(func() { qt.Check(t, pool.IsRefused(context.Background(), "10.0.0.1:80"), qt.IsTrue) })
+		}
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		qt.Check(t, pool.IsRefused(left, "10.0.0.1:80"), qt.IsFalse, qt.Commentf("the caller has left"))
+		running.Wait()
+		qt.Check(t, network.dials.Load(), qt.Equals, int64(1))
+	})
+}
