--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -37,6 +37,8 @@
 	handlers    []*tunnel.Handler
 	helperPaths []*tunnel.Paths
 	isStopping  atomic.Bool
+	// isOld lets the helping nodes be of a release that knows no tunnels.
+	isOld atomic.Bool
 	// asked counts the results of connections asked of other nodes.
 	asked atomic.Int64
 }
@@ -77,7 +79,13 @@
 			n.handlers, n.helperPaths = append(n.handlers, handler), append(n.helperPaths, paths)
 			listener, err := n.network.Host(ip).Listen(context.Background(), ip+":83")
 			n.c.Assert(err, qt.IsNil)
-			web := &http.Server{Handler: handler}
+			web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if n.isOld.Load() {
+					http.NotFound(w, req)
+					return
+				}
+				handler.ServeHTTP(w, req)
+			})}
 			webs = append(webs, web)
 			go func() { _ = web.Serve(listener) }()
 			nodes = append(nodes, nodelist.Node{ID: api.NodeID(ip), FailureDomain: api.FailureDomain("d-" + ip), Peers: ip + ":83"})
@@ -364,3 +372,27 @@
 		n.c.Assert(n.asked.Load() <= 8*4, qt.IsTrue, qt.Commentf("asked %d times", n.asked.Load()))
 	})
 }
+
+// TestNodesOfAnEarlierReleaseOpenNoTunnels dials beside nodes that know no tunnels, as in a rolling update: a reachable server is reached, and another one costs no
+// more time than a connection may take.
+func TestNodesOfAnEarlierReleaseOpenNoTunnels(t *testing.T) {
+	withNodes(t, nil, func(n *testNodes) {
+		n.isOld.Store(true)
+		n.echo(n.mustDial())
+		n.network.Refuse(nodeIP, serverIP)
+		begin := time.Now()
+		_, err := n.dial()
+		n.c.Assert(err, qt.IsNotNil)
+		n.c.Assert(time.Since(begin) < 10*time.Millisecond, qt.IsTrue)
+		n.network.Heal(nodeIP, serverIP)
+		n.network.Blackhole(nodeIP, serverIP)
+		begin = time.Now()
+		_, err = n.dial()
+		n.c.Assert(err, qt.IsNotNil)
+		n.c.Assert(time.Since(begin) <= 500*time.Millisecond, qt.IsTrue)
+		n.network.Heal(nodeIP, serverIP)
+		n.isOld.Store(false)
+		n.network.Refuse(nodeIP, serverIP)
+		n.echo(n.mustDial())
+	})
+}
