--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -243,6 +243,7 @@
 	<-ended
 	n.pool.Close()
 	n.dialer.Close()
+	n.tunnels.Close()
 	n.transport.CloseIdleConnections()
 	n.log.Info("node ends")
 	return nil
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -96,6 +96,9 @@
 		})
 		test(n)
 		n.dialer.Close()
+		for _, handler := range n.handlers {
+			handler.Close()
+		}
 		_ = server.Close()
 		for _, web := range webs {
 			_ = web.Close()
@@ -396,3 +399,22 @@
 		n.echo(n.mustDial())
 	})
 }
+
+// TestHandlerEndsItsTunnels closes the handler of a helping node while a tunnel is open over links that are silent.
+func TestHandlerEndsItsTunnels(t *testing.T) {
+	withNodes(t, nil, func(n *testNodes) {
+		n.network.Refuse(nodeIP, serverIP)
+		conn := n.mustDial()
+		n.echo(conn)
+		for i, ip := range helperIPs {
+			n.network.Silence(ip, serverIP)
+			n.network.Silence(ip, nodeIP)
+			begin := time.Now()
+			n.handlers[i].Close()
+			n.c.Check(time.Since(begin) < time.Second, qt.IsTrue)
+			n.c.Check(n.handlers[i].Open(), qt.Equals, 0)
+		}
+		_, err := n.dial()
+		n.c.Check(err, qt.IsNotNil)
+	})
+}
--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -40,9 +40,12 @@
 	IsStopping func() bool
 }
 
-// Handler answers the CONNECT requests of other nodes.
+// Handler answers the CONNECT requests of other nodes. Close must be called.
 type Handler struct {
 	opts HandlerOptions
+	// ctx ends with Close, which ends all tunnels.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// open is the number of open tunnels.
@@ -53,7 +56,15 @@
 
 // NewHandler returns a Handler.
 func NewHandler(opts HandlerOptions) *Handler {
-	return &Handler{opts: opts, changed: make(chan struct{})}
+	h := &Handler{opts: opts, changed: make(chan struct{})}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	return h
+}
+
+// Close ends all tunnels and waits for their ends.
+func (h *Handler) Close() {
+	h.cancel()
+	h.Wait(context.Background())
 }
 
 // Open returns the number of open tunnels.
@@ -102,7 +113,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	address := req.Host
-	if h.opts.IsStopping() || h.opts.Paths.AreAllLost() {
+	if h.opts.IsStopping() || h.opts.Paths.AreAllLost() || h.ctx.Err() != nil {
 		w.WriteHeader(statusUnable)
 		return
 	}
@@ -128,6 +139,10 @@
 		_ = server.Close()
 		return
 	}
+	defer context.AfterFunc(h.ctx, func() {
+		_ = node.Close()
+		_ = server.Close()
+	})()
 	pipe(node, server)
 }
 
