--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -316,3 +316,27 @@
 		f.checkCallsRanOnce()
 	})
 }
+
+// TestStoppingNodeKeepsNoTunnelsOpen stops a node through which others have kept connections to servers: their requests go on through other nodes, none fails, and
+// the node needn't wait for the connections to expire.
+func TestStoppingNodeKeepsNoTunnelsOpen(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		f.startIn("10.0.0.3", "z2")
+		time.Sleep(startTime)
+		f.cutNode(0, lostPaths[2])
+		f.checkServed(f.sendMixed(60, 20*time.Millisecond, 0))
+		var answers []answer
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			answers = f.sendMixed(100, 50*time.Millisecond, 0)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		begin := time.Now()
+		f.nodes[1].stop()
+		<-f.nodes[1].done
+		f.c.Check(time.Since(begin) < 6*time.Second, qt.IsTrue, qt.Commentf("the stop took %s", time.Since(begin)))
+		<-sent
+		f.checkServed(answers)
+	})
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -162,10 +162,16 @@
 // ConnID returns the connection over which the answer comes.
 func (a *Answer) ConnID() ConnID { return a.conn.id }
 
+// relayed is a connection to a server through another node.
+type relayed interface {
+	// RelayedBy returns the "IP:port" of that node.
+	RelayedBy() string
+}
+
 // RelayedBy returns the "IP:port" of the node through which the answer comes; empty if it comes from the server directly.
 func (a *Answer) RelayedBy() string {
-	if relayed, ok := a.conn.Conn.(interface{ RelayedBy() string }); ok {
-		return relayed.RelayedBy()
+	if conn, ok := a.conn.Conn.(relayed); ok {
+		return conn.RelayedBy()
 	}
 	return ""
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -331,14 +331,20 @@
 	}
 }
 
-// Sweep closes idle connections that have expired, and drops what is outdated.
+// isAbandoned reports whether an idle connection goes through a node through which none should go any more. One of this node's own may be usable again.
+func (p *Pool) isAbandoned(c *conn) bool {
+	_, isRelayed := c.Conn.(relayed)
+	return isRelayed && !p.opts.IsUsable(c.Conn, c.address)
+}
+
+// Sweep closes idle connections that have expired or are abandoned, and drops what is outdated.
 func (p *Pool) Sweep(now time.Time) {
 	var stale []*conn
 	p.mu.Lock()
 	for address, kept := range p.idle {
 		live := kept[:0]
 		for _, c := range kept {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && !p.isAbandoned(c) {
 				live = append(live, c)
 			} else {
 				stale = append(stale, c)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -366,3 +366,46 @@
 		qt.Check(t, network.dials.Load(), qt.Equals, int64(1))
 	})
 }
+
+// relayedConn is a connection through another node.
+type relayedConn struct {
+	net.Conn
+	closed *atomic.Int64
+}
+
+func (*relayedConn) RelayedBy() string { return "10.0.0.2:83" }
+
+func (c *relayedConn) Close() error {
+	c.closed.Add(1)
+	return c.Conn.Close()
+}
+
+// relayingNetwork opens all connections through another node.
+type relayingNetwork struct {
+	tcp.System
+	closed atomic.Int64
+}
+
+func (n *relayingNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := n.System.DialContext(ctx, network, address)
+	return &relayedConn{Conn: conn, closed: &n.closed}, err
+}
+
+// TestSweepClosesConnectionsThroughNodesThatLeave keeps a connection through a node that leaves: it must close before it expires, since the node waits for it.
+func TestSweepClosesConnectionsThroughNodesThatLeave(t *testing.T) {
+	address, _ := startScriptedServer(t, rawAnswer("1", "one"), rawAnswer("2", "two"))
+	network := new(relayingNetwork)
+	hasLeft := false
+	pool := upstream.NewPool(upstream.Options{
+		Network: network, AnswerID: func(header map[string][]string) string { return http.Header(header).Get(headerID) },
+		IsUsable: func(net.Conn, string) bool { return !hasLeft },
+	})
+	defer pool.Close()
+	_, _, err := sendRequest(pool, address, "1")
+	qt.Assert(t, err, qt.IsNil)
+	pool.Sweep(time.Now())
+	qt.Assert(t, network.closed.Load(), qt.Equals, int64(0))
+	hasLeft = true
+	pool.Sweep(time.Now())
+	qt.Assert(t, network.closed.Load(), qt.Equals, int64(1))
+}
