--- a/internal/edge/lost_path_test.go
+++ b/internal/edge/lost_path_test.go
@@ -141,7 +141,7 @@
 }
 
 // TestLostLinksMakeNoRequestSuspect guards against sound requests that are taken for the cause of crashes because a node's links to all servers broke
-// while it ran them: the same requests must be answered at another node.
+// while it ran them: the same requests must be answered later, at this node and at another one.
 func TestLostLinksMakeNoRequestSuspect(t *testing.T) {
 	for _, path := range lostPaths {
 		t.Run(path.name, func(t *testing.T) {
