--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -18,7 +18,7 @@
 	d       *Dialer
 	address string
 	plan    Plan
-	// won gets the result, abandoned is closed if nobody waits for it.
+	// won gets the result of the race, results those of the attempts. abandoned is closed if nobody waits for the race.
 	won         chan result
 	abandoned   chan struct{}
 	abandonOnce sync.Once
@@ -27,9 +27,10 @@
 	// pending is the number of attempts without a result, isDecided is set once won has got one.
 	pending   int
 	isDecided bool
-	// asked are the nodes that were asked, askedAt when, and unanswered those of them without a result.
-	asked      []api.NodeID
-	askedAt    map[api.NodeID]time.Time
+	// asked lists the nodes that were asked, and askedAt holds when, of those without a result.
+	asked   []api.NodeID
+	askedAt map[api.NodeID]time.Time
+	// refusals counts the nodes that the server has refused.
 	refusals   int
 	ownStarted bool
 	// ownErr is why the own attempt failed; nil before.
