--- a/internal/edge/brittle_servers_test.go
+++ b/internal/edge/brittle_servers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,17 +59,14 @@
 				time.Sleep(startTime)
 				f.parts = "shared*:20,own*:5"
 				var running sync.WaitGroup
-				served := 0
-				var mu sync.Mutex
+				var served atomic.Int64
 				load := func(duration time.Duration) {
 					// A server runs about four requests a second.
 					step := time.Second / time.Duration(2.5*float64(slots*test.servers))
 					for i := range int(duration / step) {
 						running.Go(func() {
 							if got := f.send(context.Background(), i%test.nodes, fmt.Sprint("/s/", i), "key-1"); got.status == http.StatusOK && got.err == nil {
-								mu.Lock()
-								served++
-								mu.Unlock()
+								served.Add(1)
 							}
 						})
 						time.Sleep(step)
@@ -82,7 +80,7 @@
 				for _, server := range servers {
 					server.SetMaxWaiting(1)
 				}
-				brittleSince, servedBefore := time.Now(), served
+				brittleSince, servedBefore := time.Now(), served.Load()
 				const measured = 10 * time.Second
 				load(measured)
 				running.Wait()
@@ -95,7 +93,7 @@
 				}
 				f.c.Check(falls <= 2+test.servers/10, qt.IsTrue, qt.Commentf("%d of %d servers fell over", falls, test.servers))
 				capacity := float64(slots*test.servers) * measured.Seconds() / 0.95
-				f.c.Check(float64(served-servedBefore) > 0.7*capacity, qt.IsTrue, qt.Commentf("%d served, %.0f possible", served-servedBefore, capacity))
+				f.c.Check(float64(served.Load()-servedBefore) > 0.7*capacity, qt.IsTrue, qt.Commentf("%d served, %.0f possible", served.Load()-servedBefore, capacity))
 			})
 		})
 	}
