Reach servers of the own API through other nodes where links are lost

The node had one path to each server, and the guard took lost links for crashes, so that sound requests became suspects at all nodes.

The node's two HTTP clients to servers now dial by internal/tunnel, whose CONNECT requests are signed with the nodes' shared keys. Probes of a server reach it through another node, so that router and guard need no change.

--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -18,10 +18,12 @@
 // Secrets shared by all development systems; nothing outside of such a system trusts them.
 const (
 	sessionSecret = "dev-session-secret"
-	peerSecret    = "dev-peer-secret-0"
 	issueSecret   = "dev-issue-secret-0"
 )
 
+// PeerSecret is the secret that the nodes share.
+const PeerSecret = "dev-peer-secret-0"
+
 // OperatorKey is the API key of the operator "dev", who has all permissions.
 const OperatorKey = "dev-operator"
 
@@ -130,7 +132,7 @@
 			LoadPoll:         time.Second,
 			ServerSubset:     40,
 		},
-		Secrets: setting.Secrets{Session: []string{sessionSecret}, Peer: peerSecret, Issue: []string{issueSecret}, Operators: []string{operatorKey()}},
+		Secrets: setting.Secrets{Session: []string{sessionSecret}, Peer: PeerSecret, Issue: []string{issueSecret}, Operators: []string{operatorKey()}},
 		Caller: setting.Caller{
 			MaxAnswers: 20_000, MaxAnswerBytes: 4 << 20, MaxKeptBytes: 256 << 20,
 			KeepAnswers: 10 * time.Minute, MaxHeaderBytes: 16 << 10,
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -60,7 +60,7 @@
 	mux.Handle(n.cluster.exchange.Handler())
 	path, calls := noderpc.NewHandler(noderpc.ServerOptions{BillHolder: n.billHolder, ClaimCommitter: n.batcher, RateLender: n.gate, ServerFinder: n})
 	mux.Handle(path, n.peerKeys().RequireSigned(calls))
-	return n.listenAdditional(ctx, "peer-api", n.opts.Settings.Node.PeerListen, &http.Server{Handler: mux, Protocols: tcp.UnencryptedProtocols()})
+	return n.listenAdditional(ctx, "peer-api", n.opts.Settings.Node.PeerListen, &http.Server{Handler: n.handleTunnels(mux), Protocols: tcp.UnencryptedProtocols()})
 }
 
 // self returns this node's entry for the membership list.
@@ -101,6 +101,7 @@
 		{Name: "configuration", Run: n.cluster.follower.Run},
 		{Name: "trials", Run: n.cluster.trials.Run},
 		{Name: "hear", Run: n.reportPeerFreshness},
+		{Name: "tunnel-helpers", Run: n.followHelpers},
 	}
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -47,6 +47,7 @@
 			servers = append(servers, server)
 		}
 	}
+	n.tunnels.updateServers(snapshot)
 	n.registry.Update(servers)
 	n.serverChooser.SetServers(servers)
 	n.serverChooser.SetNodeCount(n.nodesPerServer(len(snapshot.Servers), len(servers)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,7 @@
 	server     *http.Server
 	listener   net.Listener
 	transport  *http.Transport
+	tunnels    tunnels
 	rngMu      sync.Mutex
 	rng        *rand.Rand
 	// draining is set once, at the beginning of the graceful shutdown.
@@ -125,7 +126,6 @@
 		closedConns: newClosedConnections(),
 		seed:        opts.Seed,
 	}
-	n.transport = tcp.NewTransport(tcp.NotifyRemoteClose(opts.Network, n.closedConns.add))
 	if n.seed == 0 {
 		n.seed = rand.Uint64()
 	}
@@ -138,11 +138,14 @@
 	if opts.LogDropped != nil {
 		n.metrics.Registry().GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(opts.LogDropped))
 	}
+	n.makeTunnels()
+	n.transport = tcp.NewTransport(tcp.NotifyRemoteClose(n.tunnels.dialer, n.closedConns.add))
 	sessions, err := session.NewKeys(secretBytes(opts.Settings.Secrets.Session)...)
 	if err != nil {
+		n.parts.close()
 		return nil, Error.Wrap(err)
 	}
-	n.engines = engine.NewClient(n.httpClient(), n.httpClientWithoutKeepAlive())
+	n.engines = engine.NewClient(n.httpClient(), n.httpClientWithoutKeepAlive(n.tunnels.dialer))
 	if err := n.makeParts(ctx); err != nil {
 		n.parts.close()
 		return nil, err
@@ -192,7 +195,7 @@
 		Registry:      n.registry,
 		Answers:       n.answers,
 		Engines:       n.engines,
-		Plain:         plain.NewClient(n.httpClient(), n.httpClientWithoutKeepAlive()),
+		Plain:         plain.NewClient(n.httpClient(), n.httpClientWithoutKeepAlive(n.tunnels.dialer)),
 		Sessions:      sessions,
 		Versions:      n.parts.versions,
 		Ratings:       n.parts.ratings,
@@ -219,15 +222,15 @@
 	return n.rng.Float64()
 }
 
-// httpClient returns an HTTP client over the node's transport, without an overall timeout.
+// httpClient returns an HTTP client over the node's transport to servers, without an overall timeout.
 func (n *Node) httpClient() *http.Client {
 	return &http.Client{Transport: n.transport, CheckRedirect: returnRedirect}
 }
 
 // httpClientWithoutKeepAlive returns an HTTP client that opens a connection for each request. Remote closes of its connections
 // aren't reported.
-func (n *Node) httpClientWithoutKeepAlive() *http.Client {
-	return &http.Client{Transport: tcp.NewTransportWithoutKeepAlive(n.opts.Network), CheckRedirect: returnRedirect}
+func (n *Node) httpClientWithoutKeepAlive(network tcp.Network) *http.Client {
+	return &http.Client{Transport: tcp.NewTransportWithoutKeepAlive(network), CheckRedirect: returnRedirect}
 }
 
 // returnRedirect makes the client return a redirect response instead of following it.
@@ -245,7 +248,7 @@
 		Addresses:     n,
 		Members:       n.parts.members,
 		Issuer:        n.parts.issuer,
-		ForwardClient: n.httpClientWithoutKeepAlive(),
+		ForwardClient: n.httpClientWithoutKeepAlive(n.opts.Network),
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/", callers.Handler())
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -73,6 +73,7 @@
 	if err := n.server.Shutdown(shutdownCtx); err != nil {
 		n.log.WithError(err).Warn("connections still open at shutdown")
 	}
+	n.tunnels.handler.Wait(shutdownCtx)
 	n.parts.flush(shutdownCtx)
 }
 
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -131,6 +131,26 @@
 // RequireSigned returns a handler that serves only requests signed with a shared key (see SignTransport).
 func (k Keys) RequireSigned(next http.Handler) http.Handler { return authenticate(k, next) }
 
+// SignConnect returns the header that authenticates a CONNECT request for an address.
+func (k Keys) SignConnect(address string) http.Header {
+	return http.Header{headerAuth: {k.sign(connectPurpose(address), nil, time.Now())}}
+}
+
+// RequireSignedConnect returns a handler that serves only CONNECT requests signed with a shared key (see SignConnect). Their answers are not signed, since the
+// bytes that follow come from somebody else.
+func (k Keys) RequireSignedConnect(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if err := k.verify(req.Header.Get(headerAuth), connectPurpose(req.Host), nil, time.Now()); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// connectPurpose returns the purpose of a CONNECT request, which binds its signature to the address.
+func connectPurpose(address string) string { return "connect to " + address }
+
 // authenticate serves only requests signed with a shared key, and signs the responses.
 func authenticate(keys Keys, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -27,8 +27,8 @@
 	askDelay = 100 * time.Millisecond
 	// ownTimeout bounds the time in which a node opens a connection of its own while it asks other nodes for one.
 	ownTimeout = 400 * time.Millisecond
-	// dialTimeout bounds the time in which a connection is opened at all.
-	dialTimeout = 500 * time.Millisecond
+	// defaultTimeout bounds the time in which a connection is opened at all.
+	defaultTimeout = 500 * time.Millisecond
 	// maxHelpersAsked bounds the nodes that are asked for one connection.
 	maxHelpersAsked = 4
 	// refusalsNeeded is the number of other nodes that must be refused, too, before a server counts as refusing connections.
@@ -41,7 +41,7 @@
 	maxChecks        = 4
 )
 
-// DialerOptions configures NewDialer; all fields but OnSilent and Log are required.
+// DialerOptions configures NewDialer; all fields but Timeout, OnSilent, Sign and Log are required.
 type DialerOptions struct {
 	Network tcp.Network
 	Paths   *Paths
@@ -49,8 +49,12 @@
 	Log     log.Interface
 	// CountTunnel counts the connections asked of other nodes by outcome.
 	CountTunnel func(outcome tcp.DialOutcome)
+	// Timeout bounds the time in which a connection is opened; 0 means 500 ms.
+	Timeout time.Duration
 	// OnSilent is called when a path is found to be silent.
 	OnSilent func()
+	// Sign returns the header by which other nodes recognize a CONNECT request for an address as a node's; nil means that they need none.
+	Sign func(address string) http.Header
 }
 
 // Dialer opens connections to servers, through other nodes where this node's own paths are lost. Close must be called.
@@ -75,6 +79,12 @@
 	if opts.OnSilent == nil {
 		opts.OnSilent = func() {}
 	}
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Sign == nil {
+		opts.Sign = func(string) http.Header { return nil }
+	}
 	d := &Dialer{opts: opts, checkedAt: make(map[string]time.Time)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
@@ -201,7 +211,7 @@
 		return nil, Error.Wrap(&unreachableHelper{err})
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = connect(conn, address)
+	err = connect(conn, address, d.opts.Sign(address))
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -218,8 +228,13 @@
 func (e *unreachableHelper) Error() string { return "node not reached: " + e.cause.Error() }
 
 // connect sends a CONNECT request and reads the answer.
-func connect(conn net.Conn, address string) error {
-	if _, err := io.WriteString(conn, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n"); err != nil {
+func connect(conn net.Conn, address string, header http.Header) error {
+	var head bytes.Buffer
+	head.WriteString("CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n")
+	// Writes to a bytes.Buffer don't fail.
+	_ = header.Write(&head)
+	head.WriteString("\r\n")
+	if _, err := conn.Write(head.Bytes()); err != nil {
 		return &unreachableHelper{err}
 	}
 	reader := bufio.NewReader(conn)
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -58,9 +58,9 @@
 
 // run makes the attempts; ctx bounds those through other nodes.
 func (r *race) run(ctx context.Context) {
-	helpCtx, endHelp := context.WithTimeout(ctx, dialTimeout)
+	helpCtx, endHelp := context.WithTimeout(ctx, r.d.opts.Timeout)
 	defer endHelp()
-	ownCtx, endOwn := context.WithTimeout(r.d.ctx, dialTimeout)
+	ownCtx, endOwn := context.WithTimeout(r.d.ctx, r.d.opts.Timeout)
 	defer endOwn()
 	r.askedAt = make(map[api.NodeID]time.Time)
 	defer func() {
