Confirm the copy of the store sooner after a change

A poll that returns a change is complete only as of a second before it was sent, since the store may be about to drop its history. If it returned at the end of its wait, the copy was confirmed 3.4 s ago when the next poll ended. That poll now waits for as long as the newest complete read allows, 0.2 s at least. Nodes that read through others are told by these, as before.

TestChangesLeaveNoOldConfirmation failed before (3.38 s of 2.5 s) and passes.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,6 +24,9 @@
 const (
 	// pollWait is how long a poll waits for changes. A silent connection is detected only this long plus the call's timeout later.
 	pollWait = 1200 * time.Millisecond
+	// maxReadAge is the age of the newest complete read of the store at which the next one is to be complete: polls that return changes are not
+	// complete up to their end, and the next one ends sooner, so that an outage of the store doesn't begin with an old copy.
+	maxReadAge = 2 * pollWait
 	// minPollInterval is the minimum time between polls that return changes, so that changes in quick succession are read together.
 	minPollInterval = 200 * time.Millisecond
 	// maxHistory bounds the number of changes that are retained for the nodes that use this one as their upstream.
@@ -108,6 +111,8 @@
 	lastAnswer, outageEnded time.Time
 	// lastFailure is when a call to the store itself last failed; zero if none has.
 	lastFailure time.Time
+	// readAt is the time as of which the newest answer of the store itself, or of a node that relays it, was complete.
+	readAt time.Time
 }
 
 // New returns an empty mirror.
@@ -148,7 +153,7 @@
 // update makes one call: a list if the copy isn't complete at any revision, else a poll. It reports whether a poll returned changes.
 func (m *Mirror) update(ctx context.Context) (bool, error) {
 	m.mu.RLock()
-	revision, hasListed, hasMissing, isStale := m.revision, m.hasListed, len(m.missing) > 0, m.isStale
+	revision, hasListed, hasMissing, isStale, readAt := m.revision, m.hasListed, len(m.missing) > 0, m.isStale, m.readAt
 	mustList := m.mustList || revision == 0
 	m.mu.RUnlock()
 	upstream := m.opts.Upstream()
@@ -169,7 +174,7 @@
 		if err := m.checkEra(listed.Revision); err != nil {
 			return false, err
 		}
-		call.silence, call.sinceOutage = listed.Silence, listed.SinceOutage
+		call.age, call.silence, call.sinceOutage = listed.Age, listed.Silence, listed.SinceOutage
 		m.recordAnswer(call)
 		m.replace(listed, isStale)
 		if !isStale {
@@ -183,6 +188,9 @@
 		wait = 0
 	case hasMissing:
 		wait = restoreGracePeriod / 4
+	case !call.isRelayed:
+		// A node that relays the store answers as soon as it has confirmed its own copy.
+		wait = waitFor(call.sentAt.Sub(readAt))
 	}
 	batch, err := upstream.Poll(ctx, m.opts.Prefix, revision, wait)
 	if kv.IsErrCompacted(err) {
@@ -197,7 +205,7 @@
 		}
 		return false, err
 	}
-	call.wait, call.silence, call.sinceOutage = wait, batch.Silence, batch.SinceOutage
+	call.wait, call.age, call.silence, call.sinceOutage = wait, batch.Age, batch.Silence, batch.SinceOutage
 	m.recordAnswer(call)
 	m.apply(batch)
 	isChange := len(batch.Events) > 0
@@ -258,8 +266,13 @@
 	isRelayed bool
 	// wait is how long the store may wait for changes before it answers.
 	wait time.Duration
-	// silence and sinceOutage are those of the answer; both are 0 if it is the store's own.
-	silence, sinceOutage time.Duration
+	// age is that of the answer, relative to sentAt; silence and sinceOutage are those of the answer, both 0 if it is the store's own.
+	age, silence, sinceOutage time.Duration
+}
+
+// waitFor returns how long the next poll may wait for changes if the newest complete read is of an age.
+func waitFor(readAge time.Duration) time.Duration {
+	return min(max(maxReadAge-readAge, minPollInterval), pollWait)
 }
 
 // recordFailure records that a call failed. Another node that fails shows nothing about the store.
@@ -277,6 +290,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	if readAt := call.sentAt.Add(-call.age); readAt.After(m.readAt) {
+		m.readAt = readAt
+	}
 	at := now.Add(-call.silence)
 	isLate := now.Sub(call.sentAt) > call.wait+outageThreshold
 	switch {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -195,6 +195,76 @@
 	})
 }
 
+// laggingStore answers polls as soon as there are changes. Like the platform's store, its answers may lack the changes of the last second.
+type laggingStore struct{ *fakeStore }
+
+const watchLag = time.Second
+
+func (s laggingStore) Poll(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
+	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
+		batch, err := s.fakeStore.Poll(ctx, prefix, after, 0)
+		if batch.Age = watchLag; len(batch.Events) > 0 || err != nil {
+			return batch, err
+		}
+		if waited >= wait {
+			batch.Age -= wait
+			return batch, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestChangesLeaveNoOldConfirmation guards against an outage that finds the copy confirmed long ago, since the last poll returned a change at its end.
+func TestChangesLeaveNoOldConfirmation(t *testing.T) {
+	for after := 10 * time.Millisecond; after <= 1200*time.Millisecond; after += 70 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store := laggingStore{&fakeStore{pairs: make(map[string]kv.Pair), revision: 10}}
+			began := time.Now()
+			now := func() boottime.Time { return boottime.Time(time.Since(began) + time.Hour) }
+			var confirmedAt atomic.Int64
+			polls := countedPolls{Store: store}
+			m := mirror.New(mirror.Options{
+				Upstream: func() mirror.Store { return &polls }, Changed: func([]string) {}, Now: now,
+				Confirmed: func(at boottime.Time) { confirmedAt.Store(max(confirmedAt.Load(), int64(at))) },
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = m.Run(ctx)
+			}()
+			oldest := time.Duration(0)
+			for i := range 20 {
+				// A change, and then silence for a time or until the next one.
+				for until := time.Now().Add(after + time.Duration(i%3)*1300*time.Millisecond); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+					if time.Since(began) > 3*time.Second {
+						oldest = max(oldest, time.Duration(int64(now())-confirmedAt.Load()))
+					}
+				}
+				store.put("a")
+			}
+			took := time.Since(began)
+			cancel()
+			<-done
+			qt.Check(t, oldest <= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("change after %s: confirmed %s ago", after, oldest))
+			// One more poll for each change at most.
+			most := int64(took/(1200*time.Millisecond)) + 2*20 + 2
+			qt.Check(t, polls.count.Load() <= most, qt.IsTrue, qt.Commentf("change after %s: %d polls of %d", after, polls.count.Load(), most))
+		})
+	}
+}
+
+// countedPolls counts the polls of a store.
+type countedPolls struct {
+	mirror.Store
+	count atomic.Int64
+}
+
+func (c *countedPolls) Poll(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
+	c.count.Add(1)
+	return c.Store.Poll(ctx, prefix, after, wait)
+}
+
 // TestFollowingAMirror checks that a mirror serves all changes after a revision to another node, and returns kv.ErrCompacted if they are
 // no longer retained.
 func TestFollowingAMirror(t *testing.T) {
