Renew entries through another node where the first is rejected too

A rejected node renews its lease through the node by which it reads the store. If that one is rejected as well and reads the store through a third, each renewal fails while the reads go well, and the lease ends. The other nodes on its paths are asked in turn now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -172,7 +172,7 @@
 		Network: n.dialer, AnswerID: platform.AnswerID, CountDial: n.countDial, IsUsable: n.dialer.IsUsable, CheckPath: n.dialer.Check,
 	})
 	n.announcer = &nodelist.Announcer{
-		Store: &entryrelay.Store{Direct: n.stores.announcement, Relay: storePaths.Relay, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
+		Store: &entryrelay.Store{Direct: n.stores.announcement, Relays: storePaths.Relays, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
 			Peers: opts.Settings.Listen.Peers, CPU: opts.Settings.Resources.CPU, Bandwidth: opts.Settings.Resources.Bandwidth,
--- a/internal/edge/rejected_nodes_test.go
+++ b/internal/edge/rejected_nodes_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,9 +11,6 @@
 // TestNodesThatTheStoreTurnsAwayStayListed has the store reject some nodes for longer than a lease lasts, among them the one through which the others
 // of its failure domain read the store: callers must still be told of all nodes, and no longer of one that stops meanwhile.
 func TestNodesThatTheStoreTurnsAwayStayListed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt; KNOWN_RED=1 runs it")
-	}
 	withLargeFleet(t, func(f *testFleet) {
 		time.Sleep(2 * startTime)
 		var rejected []string
--- a/internal/entryrelay/entryrelay.go
+++ b/internal/entryrelay/entryrelay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,6 +23,11 @@
 	path = "/v1/store/entry"
 	// callTimeout bounds a call, during which the other node calls the store.
 	callTimeout = 1500 * time.Millisecond
+	// relayTimeout bounds the calls to all nodes that are asked in turn, maxRelays their number: the store may reject some of them, too.
+	relayTimeout = 2 * callTimeout
+	maxRelays    = 4
+	// failurePause is how long a node makes no calls for others after one has failed, so that an outage of the store doesn't multiply the calls to it.
+	failurePause = time.Second
 	// maxBytes bounds the bodies of a call and of its answer, in bytes.
 	maxBytes = 64 << 10
 )
@@ -58,15 +64,22 @@
 
 // Handle registers the handler of the call, which makes other nodes' calls to the store.
 func Handle(mux *http.ServeMux, store nodelist.Store) {
+	// pausedUntil is the Unix time in nanoseconds until which no calls are made.
+	var pausedUntil atomic.Int64
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 		var c call
 		if err := json.NewDecoder(io.LimitReader(req.Body, maxBytes)).Decode(&c); err != nil || !c.isValid() {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if time.Now().UnixNano() < pausedUntil.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		lease, err := c.run(req.Context(), store)
 		hasEnded := kv.IsErrLeaseNotFound(err)
 		if err != nil && !hasEnded {
+			pausedUntil.Store(time.Now().Add(failurePause).UnixNano())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -108,8 +121,8 @@
 // Store is a nodelist.Store that calls another node when a call to the store itself fails.
 type Store struct {
 	Direct nodelist.Store
-	// Relay returns the "IP:port" of a node that reaches the store, and false if none is known to.
-	Relay  func() (address string, ok bool)
+	// Relays returns the "IP:port" of nodes that may reach the store, in the order in which they are asked.
+	Relays func() []string
 	Client *http.Client
 }
 
@@ -153,21 +166,34 @@
 	return err
 }
 
-// relay makes a call through another node; without one it returns the error of the call to the store itself.
+// relay makes a call through the first of the nodes that makes it; without one it returns the error of the call to the store itself. A call that got no
+// answer may have been made: made again, it renews, writes or ends the same lease, or leaves one that ends by itself.
 func (s *Store) relay(ctx context.Context, c call, direct error) (kv.Lease, error) {
-	address, ok := s.Relay()
-	if !ok {
-		return kv.Lease{}, direct
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	relays, failure := s.Relays(), direct
+	for _, address := range relays[:min(len(relays), maxRelays)] {
+		lease, err := s.relayThrough(ctx, address, c)
+		if err == nil || kv.IsErrLeaseNotFound(err) {
+			return lease, err
+		}
+		if failure = Error.Wrap(errors.Join(direct, err)); ctx.Err() != nil {
+			break
+		}
 	}
+	return kv.Lease{}, failure
+}
+
+func (s *Store) relayThrough(ctx context.Context, address string, c call) (kv.Lease, error) {
 	var a answer
 	got, err := httpjson.Do(ctx, s.Client, httpjson.Request{
 		Method: http.MethodPost, URL: "http://" + address + path, Body: c, Timeout: callTimeout, MaxResponseBytes: maxBytes,
 	}, &a)
 	switch {
 	case err == nil && len(got.Body) == 0:
-		return kv.Lease{}, Error.Wrap(errors.Join(direct, io.ErrUnexpectedEOF))
+		return kv.Lease{}, io.ErrUnexpectedEOF
 	case err != nil:
-		return kv.Lease{}, Error.Wrap(errors.Join(direct, err))
+		return kv.Lease{}, err
 	case a.HasEnded:
 		return kv.Lease{}, kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: c.Lease})
 	}
--- /dev/null
+++ b/internal/entryrelay/entryrelay_test.go
@@ -0,0 +1,129 @@
+package entryrelay_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonrail/monsoonrail/internal/entryrelay"
+	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
+)
+
+// fakeStore counts the calls that reach it, and fails them with err.
+type fakeStore struct {
+	err   error
+	calls int
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (kv.Lease, error) {
+	s.calls++
+	return kv.Lease{ID: 7, TTL: time.Second}, s.err
+}
+
+func (s *fakeStore) KeepAlive(_ context.Context, id kv.LeaseID) (kv.Lease, error) {
+	s.calls++
+	return kv.Lease{ID: id, TTL: time.Second}, s.err
+}
+
+func (s *fakeStore) Commit(context.Context, kv.Txn) (kv.TxnResult, error) {
+	s.calls++
+	return kv.TxnResult{Succeeded: s.err == nil}, s.err
+}
+
+func (s *fakeStore) Revoke(context.Context, kv.LeaseID) error {
+	s.calls++
+	return s.err
+}
+
+// TestCallsGoThroughAnotherNodeThatReachesTheStore has the store reject the node and some of those through which it makes its calls.
+func TestCallsGoThroughAnotherNodeThatReachesTheStore(t *testing.T) {
+	rejected := kv.Error.Wrap(&kv.ErrUnavailable{})
+	ended := kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: 5})
+	for _, test := range []struct {
+		name string
+		// relays are the answers of the store to the other nodes, in the order in which they are asked.
+		relays []error
+		// calls is the number of nodes that are asked, want the error of the call; nil means none.
+		calls int
+		want  func(error) bool
+	}{
+		{"the first reaches it", []error{nil, nil}, 1, nil},
+		{"the second reaches it", []error{rejected, nil, nil}, 2, nil},
+		{"the last reaches it", []error{rejected, rejected, rejected, nil}, 4, nil},
+		{"too many don't", []error{rejected, rejected, rejected, rejected, nil}, 4, kv.IsErrUnavailable},
+		{"the lease has ended", []error{rejected, ended, nil}, 2, kv.IsErrLeaseNotFound},
+		{"there is none", nil, 0, kv.IsErrUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.New()
+				var stores []*fakeStore
+				var addresses []string
+				for i, err := range test.relays {
+					ip := "10.0.0." + string(rune('2'+i))
+					stores, addresses = append(stores, &fakeStore{err: err}), append(addresses, ip+":83")
+					mux := http.NewServeMux()
+					entryrelay.Handle(mux, stores[i])
+					listener, err := network.Host(ip).Listen(t.Context(), ip+":83")
+					qt.Assert(t, err, qt.IsNil)
+					web := &http.Server{Handler: mux}
+					go func() { _ = web.Serve(listener) }()
+					defer func() { _ = web.Close() }()
+				}
+				transport := tcp.NewTransport(network.Host("10.0.0.1"))
+				defer transport.CloseIdleConnections()
+				store := &entryrelay.Store{
+					Direct: &fakeStore{err: rejected}, Client: &http.Client{Transport: transport}, Relays: func() []string { return addresses },
+				}
+				lease, err := store.KeepAlive(t.Context(), 5)
+				if test.want == nil {
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, lease.ID, qt.Equals, kv.LeaseID(5))
+				} else {
+					qt.Check(t, test.want(err), qt.IsTrue, qt.Commentf("%v", err))
+				}
+				calls := 0
+				for _, relay := range stores {
+					calls += relay.calls
+				}
+				qt.Check(t, calls, qt.Equals, test.calls)
+			})
+		})
+	}
+}
+
+// TestFailedCallsOfOthersAreNotMultiplied has a node make calls for others while the store is out: it asks the store once in a second.
+func TestFailedCallsOfOthersAreNotMultiplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		out := &fakeStore{err: kv.Error.Wrap(&kv.ErrUnavailable{})}
+		mux := http.NewServeMux()
+		entryrelay.Handle(mux, out)
+		listener, err := network.Host("10.0.0.2").Listen(t.Context(), "10.0.0.2:83")
+		qt.Assert(t, err, qt.IsNil)
+		web := &http.Server{Handler: mux}
+		go func() { _ = web.Serve(listener) }()
+		defer func() { _ = web.Close() }()
+		transport := tcp.NewTransport(network.Host("10.0.0.1"))
+		defer transport.CloseIdleConnections()
+		store := &entryrelay.Store{
+			Direct: &fakeStore{err: out.err}, Client: &http.Client{Transport: transport}, Relays: func() []string { return []string{"10.0.0.2:83"} },
+		}
+		for range 50 {
+			_, err := store.KeepAlive(t.Context(), 5)
+			qt.Check(t, kv.IsErrUnavailable(err), qt.IsTrue)
+			time.Sleep(100 * time.Millisecond)
+		}
+		qt.Check(t, out.calls, qt.Equals, 5)
+		out.err = nil
+		time.Sleep(time.Second)
+		_, err = store.KeepAlive(t.Context(), 5)
+		qt.Check(t, err, qt.IsNil)
+	})
+}
--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -70,16 +70,36 @@
 	lastFailure error
 	// relay is the node through which the store was last read; nil after a read of the store itself or a failed one.
 	relay atomic.Pointer[nodelist.Node]
+	// relays holds the addresses of the nodes of plan.
+	relays atomic.Pointer[[]string]
 }
 
-// Relay returns the "IP:port" of the node through which this node reads the store, and false if it reads it otherwise or not at all. It may be called
-// by any goroutine.
-func (s *Selector) Relay() (address string, ok bool) {
-	node := s.relay.Load()
-	if node == nil {
-		return "", false
+// Relays returns the "IP:port" of nodes that may reach the store, if this node reads it through one: that one first, which may itself read it through
+// another, and then the others through which this node would read it. It may be called by any goroutine.
+func (s *Selector) Relays() []string {
+	node, others := s.relay.Load(), s.relays.Load()
+	if node == nil || others == nil {
+		return nil
 	}
-	return node.Peers, true
+	relays := []string{node.Peers}
+	for _, address := range *others {
+		if address != node.Peers {
+			relays = append(relays, address)
+		}
+	}
+	return relays
+}
+
+// setPlan sets the paths for a list of nodes.
+func (s *Selector) setPlan(nodes *[]nodelist.Node) {
+	s.plan, s.plannedNodes = Plan(s.opts.Self, s.opts.FailureDomain, *nodes), nodes
+	var relays []string
+	for _, path := range s.plan {
+		if path.Via != nil {
+			relays = append(relays, path.Via.Peers)
+		}
+	}
+	s.relays.Store(&relays)
 }
 
 // New returns a Selector.
@@ -119,7 +139,7 @@
 		s.failures = 0
 	}
 	if nodes := s.opts.Nodes(); s.plan == nil || nodes != s.plannedNodes {
-		s.plan, s.plannedNodes = Plan(s.opts.Self, s.opts.FailureDomain, *nodes), nodes
+		s.setPlan(nodes)
 	}
 	path := s.plan[s.failures%len(s.plan)]
 	if path.IsBudgeted && s.isUntried && !s.takeFallback(now) {
