Take no servers out of service for a caller's wrong model

A route that lists its models rejects other names with 421 at once. Elsewhere a 421 to a model that the configuration doesn't name for the service is the caller's answer, and says nothing of the server.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -62,6 +62,8 @@
 	runScript atomic.Pointer[func(run platformfake.Run) *platformfake.Script]
 	// attempts counts the attempts by request ID.
 	attempts sync.Map
+	// callersModel is the model that callers name.
+	callersModel string
 	// requests counts the callers' requests; the count makes request IDs unique.
 	requests atomic.Int64
 }
@@ -102,7 +104,7 @@
 // withTestFleet runs a test in a synctest bubble with a started fleet.
 func withTestFleet(t *testing.T, test func(f *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &testFleet{c: qt.New(t), network: memnet.New(), store: platformfake.NewStore(), startedAt: time.Now(), parts: "aa:10,bb:20"}
+		f := &testFleet{c: qt.New(t), network: memnet.New(), store: platformfake.NewStore(), startedAt: time.Now(), parts: "aa:10,bb:20", callersModel: "*"}
 		var mu sync.Mutex
 		var servers []*http.Server
 		serve := func(ip string, handler http.Handler) {
@@ -121,7 +123,7 @@
 			var server *platformfake.Server
 			server = platformfake.NewServer(platformfake.ServerOptions{
 				ID: fmt.Sprintf("m%d", i), Latency: 50 * time.Millisecond, Pause: 100 * time.Millisecond, Events: 10, Confidence: 90,
-				Script: f.nextScript, CrashingPart: "bad",
+				Script: f.nextScript, CrashingPart: "bad", Models: []string{"small", "large", "*"},
 				EventsBeforeCrash: func() int { return int(f.eventsBeforeCrash.Load()) },
 				Crash: func() {
 					if f.staysUp.Load() {
@@ -264,7 +266,7 @@
 		req.Header.Set("Key", key)
 	}
 	if strings.HasPrefix(path, "/s/") || strings.HasPrefix(path, "/once/") {
-		req.Header.Set("Model", "*")
+		req.Header.Set("Model", f.callersModel)
 		req.Header.Set("Prompt-Prefix", strings.ReplaceAll(f.parts, "*", fmt.Sprint(number)))
 		req.Header.Set("Token-Usage", "30,100")
 	}
--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	Script func(run Run) *Script
 	// Confidence is the value of the Confidence header in responses of the model "small".
 	Confidence int
+	// Models are the models that requests may name; empty means any.
+	Models []string
 	// Slots is the number of requests that run at the same time, of which the server then reports its load; 0 means no bound. Up to SetMaxWaiting
 	// further ones wait, and the others are rejected.
 	Slots int
@@ -206,6 +209,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if model := header.Get("Model"); model != "" && len(s.opts.Models) > 0 && !slices.Contains(s.opts.Models, model) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if rejects || !s.enter(req) {
 		s.mu.Lock()
 		s.arrivals[arrival].Rejected = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -229,6 +230,9 @@
 			return nil, &rejection{status: http.StatusUnauthorized, reason: reasonUnknownKey}
 		}
 	}
+	if len(r.Models) > 0 && info.Model != "" && !info.AutoModel && !slices.Contains(r.Models, info.Model) {
+		return nil, &rejection{status: http.StatusMisdirectedRequest, reason: reasonUnknownModel}
+	}
 	deadline := arrived.Add(requestTimeout(info, r))
 	if stop := g.stopping.Load(); stop != nil && arrived.After(stop.allUntil) && !deadline.Before(stop.end) {
 		return nil, retryLater(reasonStopping)
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -143,6 +143,11 @@
 func (d *dispatcher) attemptNotRun(server *backend.TrackedServer, answer *upstream.Answer, info AnswerInfo) attemptResult {
 	drain(answer)
 	d.countAttempt(server, outcomeNotRun)
+	if answer.Status == http.StatusMisdirectedRequest && d.possibleRuns == 0 && d.namesUnknownModel() {
+		// The server's answer is about the caller's model, which no other server has either.
+		d.g.reject(d.answer.w, d.RequestInfo, d.admittedRequest, &rejection{status: http.StatusMisdirectedRequest, reason: reasonUnknownModel})
+		return resultDone
+	}
 	now, report := time.Now(), info.Report
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
@@ -164,6 +169,15 @@
 	return resultNotRun
 }
 
+// namesUnknownModel reports whether the caller has named a model that the service's engines are not known to have.
+func (d *dispatcher) namesUnknownModel() bool {
+	if d.model != "" || d.Model == "" || d.service.Engine == nil || len(d.service.Engine.Cost) == 0 {
+		return false
+	}
+	_, isKnown := d.service.Engine.Cost[d.Model]
+	return !isKnown
+}
+
 // fullServerAvoidance is how long a full server is avoided: about the duration of a few requests.
 const fullServerAvoidance = 50 * time.Millisecond
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -13,6 +13,7 @@
 	reasonTooLarge           = "body too large"
 	reasonNoID               = "no request id"
 	reasonNoRoute            = "no route"
+	reasonUnknownModel       = "unknown model"
 	reasonUnknownKey         = "unknown key"
 	reasonNoConfiguration    = "no configuration yet"
 	reasonStaleConfiguration = "configuration may be old"
