Bound the memory of the bodies of all requests together

A fifth of the node's memory is for bodies. One with a length reserves it before it is read: reserved as they grow, 68 bodies kept each other from being read, and none was answered. Requests without memory get a true 503 with Retry-After. Large bodies are no longer copied to be sent.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,9 @@
 	// defaultAnswerMemory their bound if that memory is unknown.
 	answerMemoryShare   = 0.2
 	defaultAnswerMemory = 32 << 20
+	// requestMemoryShare and defaultRequestMemory are the same for the bodies of callers' requests, which are held until the requests end.
+	requestMemoryShare   = 0.2
+	defaultRequestMemory = 32 << 20
 	// acceptAllShare is the share of the grace period of a shutdown during which all new requests are still accepted, because callers keep using
 	// the addresses that they have resolved; later ones must be due before the shutdown's end.
 	acceptAllShare = 0.3
@@ -101,8 +104,10 @@
 	rollouts     *versionrollout.Tracker
 	crashes      *crashes.Tracker
 	answerMemory *membudget.Budget
-	gateway      *gateway.Gateway
-	announcer    *nodelist.Announcer
+	// requestMemory bounds the bodies of callers' requests.
+	requestMemory *membudget.Budget
+	gateway       *gateway.Gateway
+	announcer     *nodelist.Announcer
 	// nodes holds the nodes that are listed in the store as accepting requests.
 	nodes atomic.Pointer[[]nodelist.Node]
 	// collectors holds the nodes that may collect the reports of each service's roll-out, by the list rankedFor; only the duty of roll-outs
@@ -181,9 +186,10 @@
 		Restored:  restored, KeepsMissing: n.mirror.HasRecentOutage,
 		IsListed: func() bool { return n.mirror.Get(nodelist.Prefix+string(opts.Settings.Node)).Version > 0 },
 	}
-	n.answerMemory = membudget.New(defaultAnswerMemory)
+	n.answerMemory, n.requestMemory = membudget.New(defaultAnswerMemory), membudget.New(defaultRequestMemory)
 	if limit := opts.Settings.Resources.MemoryBytes; limit > 0 {
 		n.answerMemory = membudget.New(int64(answerMemoryShare * float64(limit)))
+		n.requestMemory = membudget.New(int64(requestMemoryShare * float64(limit)))
 	}
 	n.rollouts = versionrollout.NewTracker(versionrollout.TrackerOptions{
 		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, ExposureSlack: bounds.ExposureSlack, SessionTimeout: bounds.SessionTimeout, NodeCount: n.countNodes, Log: opts.Log,
@@ -193,9 +199,10 @@
 		RetryBudget: retrybudget.New(retrybudget.Options{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, NodeCount: n.countNodes,
 		}),
-		Crashes:      n.crashes,
-		AnswerMemory: n.answerMemory,
-		ModelPolicy:  gateway.Cascade{MinConfidence: []int{60, 55, 45}}, FailureDomain: opts.Settings.FailureDomain, NodeCount: n.countNodes, RecentNodeCount: n.countRecentNodes,
+		Crashes:       n.crashes,
+		RequestMemory: n.requestMemory,
+		AnswerMemory:  n.answerMemory,
+		ModelPolicy:   gateway.Cascade{MinConfidence: []int{60, 55, 45}}, FailureDomain: opts.Settings.FailureDomain, NodeCount: n.countNodes, RecentNodeCount: n.countRecentNodes,
 		Reports: &n.reports, RelayReport: n.relayReport,
 		Log: opts.Log, Metrics: n.metrics,
 	})
@@ -378,6 +385,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, req *http.Request) {
 		n.metrics.Gauge("monsoonrail_edge_running_requests").Update(n.gateway.InFlight())
 		n.metrics.Gauge("monsoonrail_edge_answer_memory_bytes").Update(n.answerMemory.Used())
+		n.metrics.Gauge("monsoonrail_edge_request_memory_bytes").Update(n.requestMemory.Used())
 		n.metrics.Gauge("monsoonrail_edge_tunnels_for_others").Update(int64(n.tunnels.Open()))
 		n.metrics.Gauge("monsoonrail_edge_servers").Update(int64(n.backends.Len()))
 		n.metrics.Gauge("monsoonrail_edge_nodes").Update(int64(n.countNodes()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -73,7 +72,7 @@
 	IsEmpty() bool
 }
 
-// Options configures New; all fields but AnswerMemory and Log are required.
+// Options configures New; all fields but RequestMemory, AnswerMemory and Log are required.
 type Options struct {
 	Node        api.NodeID
 	HeaderCodec HeaderCodec
@@ -84,6 +83,8 @@
 	RetryBudget *retrybudget.Budget
 	Crashes     Crashes
 	ModelPolicy ModelPolicy
+	// RequestMemory bounds the bodies of requests that are held together; nil means no bound.
+	RequestMemory *membudget.Budget
 	// AnswerMemory bounds the parts of servers' answers that are held together until they are forwarded; nil means no bound.
 	AnswerMemory  *membudget.Budget
 	FailureDomain api.FailureDomain
@@ -145,7 +146,9 @@
 	// deadline, as in tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(arrived.Add(max(info.Timeout, defaultDeadline) + writeMargin))
 	table := g.waitForTable(req.Context())
-	body, err := readBody(w, req, table)
+	memory := g.opts.RequestMemory.Reserve(req.RemoteAddr)
+	defer memory.Release()
+	body, err := readBody(w, req, table, memory)
 	if err != nil {
 		g.rejectUnread(w, info, err)
 		return
@@ -182,7 +185,8 @@
 	return g.opts.Configs.Current()
 }
 
-func readBody(w http.ResponseWriter, req *http.Request, table *route.Table) ([]byte, error) {
+// readBody reads a request's body, which is held until the request ends, as it may be sent to several servers.
+func readBody(w http.ResponseWriter, req *http.Request, table *route.Table, memory *membudget.Reservation) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
@@ -190,11 +194,16 @@
 	if table != nil && table.Config.Limits.MaxBodyBytes > 0 {
 		bound = table.Config.Limits.MaxBodyBytes
 	}
-	return io.ReadAll(http.MaxBytesReader(w, req.Body, bound))
+	return memory.ReadSized(http.MaxBytesReader(w, req.Body, bound), min(req.ContentLength, bound))
 }
 
-// rejectUnread rejects a request whose body is too large, and aborts the connection if reading the body failed otherwise.
+// rejectUnread rejects a request whose body is too large, by itself or beside the others, and aborts the connection if reading the body failed otherwise.
 func (g *Gateway) rejectUnread(w http.ResponseWriter, info RequestInfo, err error) {
+	if membudget.IsErrExceeded(err) {
+		w.Header().Set("Connection", "close")
+		g.reject(w, info, nil, retryLater(reasonNoMemory))
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if !errors.As(err, &tooLarge) {
 		g.opts.Log.WithFields(log.Fields{"request": string(info.ID)}).WithError(err).Info("caller left before its request was read")
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -11,6 +11,7 @@
 // Reasons of rejections, used in log fields and metric labels.
 const (
 	reasonTooLarge           = "body too large"
+	reasonNoMemory           = "no memory for the body"
 	reasonNoID               = "no request id"
 	reasonNoRoute            = "no route"
 	reasonUnknownModel       = "unknown model"
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -103,11 +103,26 @@
 	_ = r.Resize(0)
 }
 
-// ReadAll reads a message to its end, and returns what it has read before an error. The size that a message claims is not used, since a faulty sender
-// could reserve memory by it alone.
-func (r *Reservation) ReadAll(from io.Reader) ([]byte, error) {
-	var data []byte
-	next := minReadBytes
+// ReadAll reads a message to its end, and returns what it has read before an error. The size that a message claims is not used: a faulty sender could
+// reserve memory by it alone.
+func (r *Reservation) ReadAll(from io.Reader) ([]byte, error) { return r.readAll(from, nil) }
+
+// ReadSized is like ReadAll for a message of a known size, all of whose memory is reserved before it is read, so that messages which together need too much
+// don't keep each other from being read. A message without a size, or with more bytes, is read by ReadAll.
+func (r *Reservation) ReadSized(from io.Reader, size int64) ([]byte, error) {
+	if size <= 0 {
+		return r.readAll(from, nil)
+	}
+	// The byte beyond the size is for the read that finds the end.
+	if err := r.Resize(int(size) + 1); err != nil {
+		return nil, err
+	}
+	return r.readAll(from, make([]byte, 0, size+1))
+}
+
+// readAll reads a message into a buffer for which memory is reserved.
+func (r *Reservation) readAll(from io.Reader, data []byte) ([]byte, error) {
+	next := max(minReadBytes, 2*cap(data))
 	for {
 		if len(data) == cap(data) {
 			// Both buffers exist while the data is copied.
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -30,7 +30,11 @@
 			from = iotest.HalfReader(from)
 		}
 		reservation := budget.Reserve("s1")
-		got, err := reservation.ReadAll(from)
+		size := int64(rapid.SampledFrom([]int{0, 1, len(message) / 2, len(message), 2 * len(message)}).Draw(rt, "size"))
+		got, err := reservation.ReadSized(from, size)
+		if size == int64(len(message)) && cap(got) > len(message)+1 && len(message) > 0 {
+			rt.Fatalf("a buffer of %d bytes for %d", cap(got), len(message))
+		}
 		if err != nil || !bytes.Equal(got, message) {
 			rt.Fatalf("%d bytes of %d, %v", len(got), len(message), err)
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,8 @@
 	maxSkippedAnswers = 2
 	// maxSkippedBytes bounds the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
+	// maxJoinedBody bounds the body that is written together with the head: a larger one is not copied.
+	maxJoinedBody = 64 << 10
 	// headSizeHint is the initial buffer capacity for the head of a request.
 	headSizeHint = 1 << 10
 )
@@ -63,7 +65,7 @@
 // connection, until Close is called. The error is tcp.IsErrNotSent if no byte was sent, or IsErrNoAnswer if the server may have run
 // the request.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Answer, error) {
-	encoded := req.encode()
+	head, body := req.encode()
 	for {
 		c := p.takeIdle(address, req.UsedConns)
 		if c == nil {
@@ -74,7 +76,10 @@
 		}
 		stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 		p.begin(c, req)
-		n, err := c.Write(encoded)
+		n, err := c.Write(head)
+		if err == nil && len(body) > 0 {
+			_, err = c.Write(body)
+		}
 		if err == nil {
 			if c.reused {
 				defer p.watchSilence(address, req)()
@@ -129,10 +134,14 @@
 	return fail(mismatch)
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (r *Request) encode() []byte {
+// encode returns the request in HTTP/1.1 wire format: the head with a short body, and the rest.
+func (r *Request) encode() (head, rest []byte) {
 	var out bytes.Buffer
-	out.Grow(headSizeHint + len(r.Body))
+	joined := r.Body
+	if len(joined) > maxJoinedBody {
+		joined, rest = nil, r.Body
+	}
+	out.Grow(headSizeHint + len(joined))
 	out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writes to a bytes.Buffer don't fail.
 	_ = r.Header.Write(&out)
@@ -140,8 +149,8 @@
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(r.Body)
-	return out.Bytes()
+	out.Write(joined)
+	return out.Bytes(), rest
 }
 
 // answerBody implements the Body of an Answer.
