--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/site"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
+	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 const (
@@ -881,6 +883,21 @@
 	})
 }
 
+// TestRequestsThatRunOnceAreNotEscalated gives the small model's answers a low confidence on a route whose requests may run once only.
+func TestRequestsThatRunOnceAreNotEscalated(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		doubtful, end := f.replaceModelServers(platformfake.ServerOptions{Latency: time.Millisecond, Events: 3, Confidence: 10})
+		defer end()
+		const once = `"service":"models","maxAttempts":3}`
+		f.store.Put(platform.KeyConfig, bytes.Replace(configurationVersion(2, "key-1"), []byte(once), []byte(`"sizes":["small","large"],`+once), 1))
+		time.Sleep(time.Second)
+		got := f.send(context.Background(), 0, "/once/1", "key-1")
+		f.c.Assert(got.err, qt.IsNil)
+		f.c.Check(got.status, qt.Equals, http.StatusOK)
+		f.c.Check(doubtful.Runs(), qt.HasLen, 1)
+	})
+}
+
 // TestLowConfidenceAnswerIsEscalated gives the small model's answers a low confidence: the caller must get the large model's answer.
 func TestLowConfidenceAnswerIsEscalated(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,9 +90,9 @@
 }
 
 // escalate decides by an answer's confidence whether a larger model is to answer instead; it then selects that model and reports true.
-// An answer can only be replaced before any part of it was sent to the caller.
+// An answer can only be replaced before any part of it was sent to the caller, and if the request may run twice.
 func (d *dispatcher) escalate(info AnswerInfo) bool {
-	if d.model == "" || !info.HasConfidence || d.answer.isHeadSent || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if d.model == "" || !d.route.MayRepeat() || !info.HasConfidence || d.answer.isHeadSent || d.possibleRuns+1 >= d.route.MaxAttempts {
 		return false
 	}
 	next := d.g.opts.ModelPolicy.Next(d.route.Models, d.modelIndex, info.Confidence, d.priority(), d.utilization)
