--- a/internal/entryrelay/entryrelay_test.go
+++ b/internal/entryrelay/entryrelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -41,9 +42,32 @@
 	return s.err
 }
 
+// relayOver returns a Store whose own calls are rejected, and which makes them through nodes with the given stores.
+func relayOver(t *testing.T, stores ...*fakeStore) *entryrelay.Store {
+	network := memnet.New()
+	var addresses []string
+	for i, store := range stores {
+		ip := fmt.Sprintf("10.0.0.%d", i+2)
+		addresses = append(addresses, ip+":83")
+		mux := http.NewServeMux()
+		entryrelay.Handle(mux, store)
+		listener, err := network.Host(ip).Listen(t.Context(), ip+":83")
+		qt.Assert(t, err, qt.IsNil)
+		web := &http.Server{Handler: mux}
+		go func() { _ = web.Serve(listener) }()
+		t.Cleanup(func() { _ = web.Close() })
+	}
+	transport := tcp.NewTransport(network.Host("10.0.0.1"))
+	t.Cleanup(transport.CloseIdleConnections)
+	return &entryrelay.Store{
+		Direct: &fakeStore{err: errRejected}, Client: &http.Client{Transport: transport}, Relays: func() []string { return addresses },
+	}
+}
+
+var errRejected = kv.Error.Wrap(&kv.ErrUnavailable{})
+
 // TestCallsGoThroughAnotherNodeThatReachesTheStore has the store reject the node and some of those through which it makes its calls.
 func TestCallsGoThroughAnotherNodeThatReachesTheStore(t *testing.T) {
-	rejected := kv.Error.Wrap(&kv.ErrUnavailable{})
 	ended := kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: 5})
 	for _, test := range []struct {
 		name string
@@ -54,33 +78,19 @@
 		want  func(error) bool
 	}{
 		{"the first reaches it", []error{nil, nil}, 1, nil},
-		{"the second reaches it", []error{rejected, nil, nil}, 2, nil},
-		{"the last reaches it", []error{rejected, rejected, rejected, nil}, 4, nil},
-		{"too many don't", []error{rejected, rejected, rejected, rejected, nil}, 4, kv.IsErrUnavailable},
-		{"the lease has ended", []error{rejected, ended, nil}, 2, kv.IsErrLeaseNotFound},
+		{"the second reaches it", []error{errRejected, nil, nil}, 2, nil},
+		{"the last reaches it", []error{errRejected, errRejected, errRejected, nil}, 4, nil},
+		{"too many don't", []error{errRejected, errRejected, errRejected, errRejected, nil}, 4, kv.IsErrUnavailable},
+		{"the lease has ended", []error{errRejected, ended, nil}, 2, kv.IsErrLeaseNotFound},
 		{"there is none", nil, 0, kv.IsErrUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				network := memnet.New()
 				var stores []*fakeStore
-				var addresses []string
-				for i, err := range test.relays {
-					ip := "10.0.0." + string(rune('2'+i))
-					stores, addresses = append(stores, &fakeStore{err: err}), append(addresses, ip+":83")
-					mux := http.NewServeMux()
-					entryrelay.Handle(mux, stores[i])
-					listener, err := network.Host(ip).Listen(t.Context(), ip+":83")
-					qt.Assert(t, err, qt.IsNil)
-					web := &http.Server{Handler: mux}
-					go func() { _ = web.Serve(listener) }()
-					defer func() { _ = web.Close() }()
-				}
-				transport := tcp.NewTransport(network.Host("10.0.0.1"))
-				defer transport.CloseIdleConnections()
-				store := &entryrelay.Store{
-					Direct: &fakeStore{err: rejected}, Client: &http.Client{Transport: transport}, Relays: func() []string { return addresses },
+				for _, err := range test.relays {
+					stores = append(stores, &fakeStore{err: err})
 				}
+				store := relayOver(t, stores...)
 				lease, err := store.KeepAlive(t.Context(), 5)
 				if test.want == nil {
 					qt.Check(t, err, qt.IsNil)
@@ -101,20 +111,8 @@
 // TestFailedCallsOfOthersAreNotMultiplied has a node make calls for others while the store is out: it asks the store once in a second.
 func TestFailedCallsOfOthersAreNotMultiplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		out := &fakeStore{err: kv.Error.Wrap(&kv.ErrUnavailable{})}
-		mux := http.NewServeMux()
-		entryrelay.Handle(mux, out)
-		listener, err := network.Host("10.0.0.2").Listen(t.Context(), "10.0.0.2:83")
-		qt.Assert(t, err, qt.IsNil)
-		web := &http.Server{Handler: mux}
-		go func() { _ = web.Serve(listener) }()
-		defer func() { _ = web.Close() }()
-		transport := tcp.NewTransport(network.Host("10.0.0.1"))
-		defer transport.CloseIdleConnections()
-		store := &entryrelay.Store{
-			Direct: &fakeStore{err: out.err}, Client: &http.Client{Transport: transport}, Relays: func() []string { return []string{"10.0.0.2:83"} },
-		}
+		out := &fakeStore{err: errRejected}
+		store := relayOver(t, out)
 		for range 50 {
 			_, err := store.KeepAlive(t.Context(), 5)
 			qt.Check(t, kv.IsErrUnavailable(err), qt.IsTrue)
@@ -123,7 +121,7 @@
 		qt.Check(t, out.calls, qt.Equals, 5)
 		out.err = nil
 		time.Sleep(time.Second)
-		_, err = store.KeepAlive(t.Context(), 5)
+		_, err := store.KeepAlive(t.Context(), 5)
 		qt.Check(t, err, qt.IsNil)
 	})
 }
