--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -73,8 +73,8 @@
 	if err := n.server.Shutdown(shutdownCtx); err != nil {
 		n.log.WithError(err).Warn("connections still open at shutdown")
 	}
-	n.tunnels.handler.Wait(shutdownCtx)
 	n.parts.flush(shutdownCtx)
+	n.tunnels.handler.Wait(shutdownCtx)
 }
 
 // Close shuts down at once and ends the requests that still run.
