Let polls of other nodes outlast those of the store

A reader's poll ended at the moment at which its relay was confirmed, got the confirmation before, and asked again for a whole wait, so that its copy was confirmed up to 3.4 s ago. Polls of other nodes now wait 0.2 s longer, and the confirmation wakes them.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -188,8 +188,10 @@
 		wait = 0
 	case hasMissing:
 		wait = restoreGracePeriod / 4
-	case !call.isRelayed:
-		// A node that relays the store answers as soon as it has confirmed its own copy.
+	case call.isRelayed:
+		// A node that relays the store answers as soon as it has confirmed its own copy, after pollWait at most.
+		wait = pollWait + minPollInterval
+	default:
 		wait = waitFor(call.sentAt.Sub(readAt))
 	}
 	batch, err := upstream.Poll(ctx, m.opts.Prefix, revision, wait)
