Measure the pause of calls for other nodes by the monotonic clock

A clock set back lengthened the pause of a second by as much, in which the node refuses to call the store for others. Found by reading. There is no test that failed first: it would have to set the machine's clock back.

--- a/internal/entryrelay/entryrelay.go
+++ b/internal/entryrelay/entryrelay.go
@@ -64,22 +64,24 @@
 
 // Handle registers the handler of the call, which makes other nodes' calls to the store.
 func Handle(mux *http.ServeMux, store nodelist.Store) {
-	// pausedUntil is the Unix time in nanoseconds until which no calls are made.
-	var pausedUntil atomic.Int64
+	// failedAt is the time of the last failed call, after which none is made for failurePause; nil if none has failed. time.Since measures
+	// it with the monotonic clock, which isn't set back.
+	var failedAt atomic.Pointer[time.Time]
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 		var c call
 		if err := json.NewDecoder(io.LimitReader(req.Body, maxBytes)).Decode(&c); err != nil || !c.isValid() {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if time.Now().UnixNano() < pausedUntil.Load() {
+		if last := failedAt.Load(); last != nil && time.Since(*last) < failurePause {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		lease, err := c.run(req.Context(), store)
 		hasEnded := kv.IsErrLeaseNotFound(err)
 		if err != nil && !hasEnded {
-			pausedUntil.Store(time.Now().Add(failurePause).UnixNano())
+			now := time.Now()
+			failedAt.Store(&now)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
