Write states of roll-outs through another node where the store turns this one away

Entries had a way through other nodes for this, roll-outs had none. Ruled out: another collector (reports reach this one, so that no other has the evidence).

internal/entryrelay is internal/writerelay now and also relays the conditional transaction that writes a roll-out's state; the node that helps checks that nothing else is written. Its conditions make a second try harmless. A node of an earlier version answers 400, and the next is asked.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,7 +18,6 @@
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/boottime"
 	"github.com/monsoonrail/monsoonrail/internal/crashes"
-	"github.com/monsoonrail/monsoonrail/internal/entryrelay"
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/inforce"
@@ -40,6 +39,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/tunnel"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/internal/writerelay"
 	"github.com/monsoonrail/monsoonrail/platform"
 )
 
@@ -118,6 +118,8 @@
 	addresses addressCache
 	// nodePeak is the largest number of nodes in the last seconds.
 	nodePeak nodelist.Peak
+	// rolloutWrites writes the states of roll-outs, through another node while the store turns this one away.
+	rolloutWrites *writerelay.Store
 	// reports holds the reports of servers that other nodes should know.
 	reports selfreport.Outbox
 	// relayedReports holds the reports for the nodes through which they came.
@@ -128,7 +130,7 @@
 
 // stores holds a client of the store for each duty, which counts its calls.
 type stores struct {
-	mirror, announcement, relayedEntries, rollouts, crashReports, serverReports *platform.Store
+	mirror, announcement, relayedWrites, rollouts, crashReports, serverReports *platform.Store
 }
 
 // New returns a node; it makes no calls and opens no listeners until Run is called.
@@ -141,7 +143,7 @@
 	store := platform.NewStore(opts.Settings.Store.Address, n.transport)
 	n.stores = stores{
 		mirror: n.countCalls(store, "mirror"), announcement: n.countCalls(store, "announcement"), rollouts: n.countCalls(store, "roll-outs"),
-		relayedEntries: n.countCalls(store, "relayed-entries"), crashReports: n.countCalls(store, "crash-reports"), serverReports: n.countCalls(store, "server-reports"),
+		relayedWrites: n.countCalls(store, "relayed-writes"), crashReports: n.countCalls(store, "crash-reports"), serverReports: n.countCalls(store, "server-reports"),
 	}
 	bounds := opts.Settings.Bounds
 	n.activeConfig = inforce.New(inforce.Options{
@@ -176,8 +178,9 @@
 	n.pool = upstream.NewPool(upstream.Options{
 		Network: n.dialer, AnswerID: platform.AnswerID, CountDial: n.countDial, IsUsable: n.dialer.IsUsable, CheckPath: n.dialer.Check,
 	})
+	n.rolloutWrites = &writerelay.Store{Direct: n.stores.rollouts, Relays: storePaths.Relays, Client: n.peers}
 	n.announcer = &nodelist.Announcer{
-		Store: &entryrelay.Store{Direct: n.stores.announcement, Relays: storePaths.Relays, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
+		Store: &writerelay.Store{Direct: n.stores.announcement, Relays: storePaths.Relays, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
 			Peers: opts.Settings.Listen.Peers, CPU: opts.Settings.Resources.CPU, Bandwidth: opts.Settings.Resources.Bandwidth,
@@ -331,7 +334,7 @@
 	mux := http.NewServeMux()
 	relay.Handle(mux, n.mirror)
 	rolloutrpc.Handle(mux, n.rollouts)
-	entryrelay.Handle(mux, n.stores.relayedEntries)
+	writerelay.Handle(mux, n.stores.relayedWrites)
 	reportrelay.Handle(mux, n.hearRelayedReport)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodConnect {
--- a/internal/entryrelay/entryrelay.go
+++ b/internal/writerelay/writerelay.go
@@ -1,5 +1,6 @@
-// Package entryrelay lets a node keep its entry in the list of nodes through another node while the store turns it away.
-package entryrelay
+// Package writerelay lets a node write to the store through another node while the store turns it away: its entry in the list of nodes, and the states of
+// roll-outs.
+package writerelay
 
 import (
 	"context"
@@ -16,6 +17,8 @@
 	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 const (
@@ -33,7 +36,7 @@
 )
 
 // Error is the class of every error of the package.
-var Error = errs.Class("entryrelay")
+var Error = errs.Class("writerelay")
 
 // operation is what a call asks for.
 type operation string
@@ -43,6 +46,8 @@
 	opKeepAlive operation = "KeepAlive"
 	opWrite     operation = "Write"
 	opRevoke    operation = "Revoke"
+	// opCommit is a transaction that writes the state of a roll-out if nobody else has written it since.
+	opCommit operation = "Commit"
 )
 
 // call is the body of a call; which fields are set depends on Operation.
@@ -52,6 +57,8 @@
 	Lease     kv.LeaseID    `json:",omitempty"`
 	Key       string        `json:",omitempty"`
 	Value     []byte        `json:",omitempty"`
+	If        []kv.Compare  `json:",omitempty"`
+	Then      []kv.Op       `json:",omitempty"`
 }
 
 // answer is the body of the answer to a call that the store has answered.
@@ -60,6 +67,8 @@
 	TTL   time.Duration `json:",omitempty"`
 	// HasEnded is set if the call's lease has ended.
 	HasEnded bool `json:",omitempty"`
+	// Succeeded is set if the conditions of the call's transaction held.
+	Succeeded bool `json:",omitempty"`
 }
 
 // Handle registers the handler of the call, which makes other nodes' calls to the store.
@@ -77,7 +86,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		lease, err := c.run(req.Context(), store)
+		a, err := c.run(req.Context(), store)
 		hasEnded := kv.IsErrLeaseNotFound(err)
 		if err != nil && !hasEnded {
 			now := time.Now()
@@ -87,11 +96,12 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// A node that gets no answer makes the call again.
-		_ = json.NewEncoder(w).Encode(answer{Lease: lease.ID, TTL: lease.TTL, HasEnded: hasEnded})
+		a.HasEnded = hasEnded
+		_ = json.NewEncoder(w).Encode(a)
 	})
 }
 
-// isValid reports whether the call is one that a node makes for its entry: other keys are not written for it.
+// isValid reports whether the call is one that a node makes for its entry or for the state of a roll-out: other keys are not written for it.
 func (c *call) isValid() bool {
 	switch c.Operation {
 	case opGrant:
@@ -100,23 +110,41 @@
 		return c.Lease != 0
 	case opWrite:
 		return c.Lease != 0 && strings.HasPrefix(c.Key, nodelist.Prefix)
+	case opCommit:
+		return isRolloutState(kv.Txn{If: c.If, Then: c.Then})
 	default:
 		return false
 	}
 }
 
-func (c *call) run(ctx context.Context, store nodelist.Store) (lease kv.Lease, err error) {
+// isRolloutState reports whether a transaction writes the state of a roll-out, and perhaps its start, on conditions. Made twice it writes once.
+func isRolloutState(txn kv.Txn) bool {
+	for _, op := range txn.Then {
+		isState := strings.HasPrefix(op.Key, platform.PrefixRolloutStatus) || strings.HasPrefix(op.Key, versionrollout.StartKeyPrefix)
+		if op.Kind != kv.OpPut || op.Lease != 0 || !isState {
+			return false
+		}
+	}
+	return len(txn.If) > 0 && len(txn.Then) > 0 && len(txn.Else) == 0
+}
+
+func (c *call) run(ctx context.Context, store nodelist.Store) (answer, error) {
 	switch c.Operation {
 	case opGrant:
-		return store.Grant(ctx, c.TTL)
+		lease, err := store.Grant(ctx, c.TTL)
+		return answer{Lease: lease.ID, TTL: lease.TTL}, err
 	case opKeepAlive:
-		return store.KeepAlive(ctx, c.Lease)
+		lease, err := store.KeepAlive(ctx, c.Lease)
+		return answer{Lease: lease.ID, TTL: lease.TTL}, err
 	case opWrite:
 		put := kv.Op{Kind: kv.OpPut, Key: c.Key, Value: c.Value, Lease: c.Lease}
-		_, err = store.Commit(ctx, kv.Txn{Then: []kv.Op{put}})
-		return kv.Lease{}, err
+		result, err := store.Commit(ctx, kv.Txn{Then: []kv.Op{put}})
+		return answer{Succeeded: result.Succeeded}, err
+	case opCommit:
+		result, err := store.Commit(ctx, kv.Txn{If: c.If, Then: c.Then})
+		return answer{Succeeded: result.Succeeded}, err
 	default:
-		return kv.Lease{}, store.Revoke(ctx, c.Lease)
+		return answer{}, store.Revoke(ctx, c.Lease)
 	}
 }
 
@@ -132,7 +160,8 @@
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
 	lease, err := s.Direct.Grant(ctx, ttl)
 	if err != nil {
-		return s.relay(ctx, call{Operation: opGrant, TTL: ttl}, err)
+		a, err := s.relay(ctx, call{Operation: opGrant, TTL: ttl}, err)
+		return kv.Lease{ID: a.Lease, TTL: a.TTL}, err
 	}
 	return lease, nil
 }
@@ -141,22 +170,32 @@
 func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) (kv.Lease, error) {
 	lease, err := s.Direct.KeepAlive(ctx, id)
 	if err != nil && !kv.IsErrLeaseNotFound(err) {
-		return s.relay(ctx, call{Operation: opKeepAlive, Lease: id}, err)
+		a, err := s.relay(ctx, call{Operation: opKeepAlive, Lease: id}, err)
+		return kv.Lease{ID: a.Lease, TTL: a.TTL}, err
 	}
 	return lease, err
 }
 
-// Commit implements nodelist.Store. Transactions other than the write of one key are not relayed.
+// Commit implements nodelist.Store. Transactions other than the write of one key and that of the state of a roll-out are not relayed.
 func (s *Store) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	result, err := s.Direct.Commit(ctx, txn)
-	if err == nil || kv.IsErrLeaseNotFound(err) || len(txn.If) > 0 || len(txn.Then) != 1 || txn.Then[0].Kind != kv.OpPut {
+	if err == nil || kv.IsErrLeaseNotFound(err) {
 		return result, err
 	}
-	put := txn.Then[0]
-	if _, err = s.relay(ctx, call{Operation: opWrite, Lease: put.Lease, Key: put.Key, Value: put.Value}, err); err != nil {
-		return kv.TxnResult{}, err
+	isWrite := len(txn.If) == 0 && len(txn.Then) == 1 && txn.Then[0].Kind == kv.OpPut
+	switch {
+	case isWrite:
+		put := txn.Then[0]
+		if _, err = s.relay(ctx, call{Operation: opWrite, Lease: put.Lease, Key: put.Key, Value: put.Value}, err); err != nil {
+			return kv.TxnResult{}, err
+		}
+		return kv.TxnResult{Succeeded: true}, nil
+	case isRolloutState(txn):
+		a, err := s.relay(ctx, call{Operation: opCommit, If: txn.If, Then: txn.Then}, err)
+		return kv.TxnResult{Succeeded: a.Succeeded}, err
+	default:
+		return result, err
 	}
-	return kv.TxnResult{Succeeded: true}, nil
 }
 
 // Revoke implements nodelist.Store.
@@ -169,35 +208,36 @@
 }
 
 // relay makes a call through the first of the nodes that makes it; without one it returns the error of the call to the store itself. A call that got no
-// answer may have been made: made again, it renews, writes or ends the same lease, or leaves one that ends by itself.
-func (s *Store) relay(ctx context.Context, c call, direct error) (kv.Lease, error) {
+// answer may have been made: made again, it renews, writes or ends the same lease, leaves one
+// that ends by itself, or finds that the conditions of its transaction hold no more.
+func (s *Store) relay(ctx context.Context, c call, direct error) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	relays, failure := s.Relays(), direct
 	for _, address := range relays[:min(len(relays), maxRelays)] {
-		lease, err := s.relayThrough(ctx, address, c)
+		a, err := s.relayThrough(ctx, address, c)
 		if err == nil || kv.IsErrLeaseNotFound(err) {
-			return lease, err
+			return a, err
 		}
 		if failure = Error.Wrap(errors.Join(direct, err)); ctx.Err() != nil {
 			break
 		}
 	}
-	return kv.Lease{}, failure
+	return answer{}, failure
 }
 
-func (s *Store) relayThrough(ctx context.Context, address string, c call) (kv.Lease, error) {
+func (s *Store) relayThrough(ctx context.Context, address string, c call) (answer, error) {
 	var a answer
 	got, err := httpjson.Do(ctx, s.Client, httpjson.Request{
 		Method: http.MethodPost, URL: "http://" + address + path, Body: c, Timeout: callTimeout, MaxResponseBytes: maxBytes,
 	}, &a)
 	switch {
 	case err == nil && len(got.Body) == 0:
-		return kv.Lease{}, io.ErrUnexpectedEOF
+		return answer{}, io.ErrUnexpectedEOF
 	case err != nil:
-		return kv.Lease{}, err
+		return answer{}, err
 	case a.HasEnded:
-		return kv.Lease{}, kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: c.Lease})
+		return answer{}, kv.Error.Wrap(&kv.ErrLeaseNotFound{ID: c.Lease})
 	}
-	return kv.Lease{ID: a.Lease, TTL: a.TTL}, nil
+	return a, nil
 }
--- a/internal/entryrelay/entryrelay_test.go
+++ b/internal/writerelay/writerelay_test.go
@@ -1,7 +1,9 @@
-package entryrelay_test
+package writerelay_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -10,16 +12,19 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/monsoonrail/monsoonrail/internal/entryrelay"
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
+	"github.com/monsoonrail/monsoonrail/internal/writerelay"
 )
 
 // fakeStore counts the calls that reach it, and fails them with err.
 type fakeStore struct {
 	err   error
 	calls int
+	// refuses says that the conditions of transactions don't hold; txns are those that were made.
+	refuses bool
+	txns    []kv.Txn
 }
 
 func (s *fakeStore) Grant(context.Context, time.Duration) (kv.Lease, error) {
@@ -32,9 +37,12 @@
 	return kv.Lease{ID: id, TTL: time.Second}, s.err
 }
 
-func (s *fakeStore) Commit(context.Context, kv.Txn) (kv.TxnResult, error) {
+func (s *fakeStore) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	s.calls++
-	return kv.TxnResult{Succeeded: s.err == nil}, s.err
+	if s.err == nil {
+		s.txns = append(s.txns, txn)
+	}
+	return kv.TxnResult{Succeeded: s.err == nil && !s.refuses}, s.err
 }
 
 func (s *fakeStore) Revoke(context.Context, kv.LeaseID) error {
@@ -43,14 +51,14 @@
 }
 
 // relayOver returns a Store whose own calls are rejected, and which makes them through nodes with the given stores.
-func relayOver(t *testing.T, stores ...*fakeStore) *entryrelay.Store {
+func relayOver(t *testing.T, stores ...*fakeStore) *writerelay.Store {
 	network := memnet.New()
 	var addresses []string
 	for i, store := range stores {
 		ip := fmt.Sprintf("10.0.0.%d", i+2)
 		addresses = append(addresses, ip+":83")
 		mux := http.NewServeMux()
-		entryrelay.Handle(mux, store)
+		writerelay.Handle(mux, store)
 		listener, err := network.Host(ip).Listen(t.Context(), ip+":83")
 		qt.Assert(t, err, qt.IsNil)
 		web := &http.Server{Handler: mux}
@@ -59,7 +67,7 @@
 	}
 	transport := tcp.NewTransport(network.Host("10.0.0.1"))
 	t.Cleanup(transport.CloseIdleConnections)
-	return &entryrelay.Store{
+	return &writerelay.Store{
 		Direct: &fakeStore{err: errRejected}, Client: &http.Client{Transport: transport}, Relays: func() []string { return addresses },
 	}
 }
@@ -125,3 +133,57 @@
 		qt.Check(t, err, qt.IsNil)
 	})
 }
+
+// stateTxn returns a transaction that writes a key and the start of a roll-out unless the roll-out's state was written meanwhile.
+func stateTxn(key string) kv.Txn {
+	return kv.Txn{
+		If: []kv.Compare{{Key: "status/rollout/calls", Version: 4}, {Key: "op/rollout/calls", Version: 3}},
+		Then: []kv.Op{
+			{Kind: kv.OpPut, Key: key, Value: []byte("{}")}, {Kind: kv.OpPut, Key: "monsoonrail/rollouts/calls", Value: []byte("{}")},
+		},
+	}
+}
+
+// TestStatesOfRolloutsGoThroughAnotherNode has a node that the store rejects write the state of a roll-out: the conditions go with it, and their result comes
+// back.
+func TestStatesOfRolloutsGoThroughAnotherNode(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			rejected, reached := &fakeStore{err: errRejected}, &fakeStore{refuses: refuses}
+			result, err := relayOver(t, rejected, reached).Commit(t.Context(), stateTxn("status/rollout/calls"))
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, result.Succeeded, qt.Equals, !refuses)
+			qt.Check(t, reached.txns, qt.DeepEquals, []kv.Txn{stateTxn("status/rollout/calls")})
+		})
+	}
+}
+
+// TestOtherTransactionsAreNotRelayed has a node ask for transactions that are not its own to make, and another be asked for them.
+func TestOtherTransactionsAreNotRelayed(t *testing.T) {
+	state := stateTxn("status/rollout/calls")
+	for name, txn := range map[string]kv.Txn{
+		"an operator's key":   stateTxn("op/config"),
+		"no condition":        {Then: state.Then},
+		"nothing written":     {If: state.If},
+		"a deletion":          {If: state.If, Then: []kv.Op{{Kind: kv.OpDelete, Key: "status/rollout/calls"}}},
+		"with another branch": {If: state.If, Then: state.Then, Else: state.Then},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reached := &fakeStore{}
+				store := relayOver(t, reached)
+				_, err := store.Commit(t.Context(), txn)
+				qt.Check(t, kv.IsErrUnavailable(err), qt.IsTrue, qt.Commentf("%v", err))
+				if len(txn.Else) == 0 {
+					body, err := json.Marshal(map[string]any{"Operation": "Commit", "If": txn.If, "Then": txn.Then})
+					qt.Assert(t, err, qt.IsNil)
+					resp, err := store.Client.Post("http://"+store.Relays()[0]+"/v1/store/entry", "application/json", bytes.NewReader(body))
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, resp.Body.Close(), qt.IsNil)
+					qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadRequest)
+				}
+				qt.Check(t, reached.calls, qt.Equals, 0)
+			})
+		})
+	}
+}
