Write reports through another node where the store turns this one away

Found by reading, after the roll-outs: a node that the store turns away knew of a request that crashes servers, and no other node did until the store took the report.

Reports of crashes and of servers are written through the node that writes entries and roll-outs for this one; it checks that their keys are those of reports and that they end with a lease. Ruled out: reports from node to node (a second way of news beside the store).

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -82,7 +82,7 @@
 }
 
 func (n *Node) writeCrashReports(ctx context.Context, reports []crashes.Report) error {
-	lease, err := n.stores.crashReports.Grant(ctx, crashes.ReportTTL)
+	lease, err := n.writes.crashReports.Grant(ctx, crashes.ReportTTL)
 	if err != nil {
 		return err
 	}
@@ -97,6 +97,6 @@
 			"suspect": string(report.Suspect), "request": string(report.Request), "crashes": report.Crashes, "cleared": report.IsCleared,
 		}).Info("crash reported")
 	}
-	_, err = n.stores.crashReports.Commit(ctx, txn)
+	_, err = n.writes.crashReports.Commit(ctx, txn)
 	return err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -118,8 +118,7 @@
 	addresses addressCache
 	// nodePeak is the largest number of nodes in the last seconds.
 	nodePeak nodelist.Peak
-	// rolloutWrites writes the states of roll-outs, through another node while the store turns this one away.
-	rolloutWrites *writerelay.Store
+	writes   writes
 	// reports holds the reports of servers that other nodes should know.
 	reports selfreport.Outbox
 	// relayedReports holds the reports for the nodes through which they came.
@@ -133,6 +132,11 @@
 	mirror, announcement, relayedWrites, rollouts, crashReports, serverReports *platform.Store
 }
 
+// writes holds the stores of duties, which write through another node while the store turns this one away.
+type writes struct {
+	rollouts, crashReports, serverReports *writerelay.Store
+}
+
 // New returns a node; it makes no calls and opens no listeners until Run is called.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain}), collectors: make(map[route.Service][]nodelist.Node), relayedReports: make(chan relayedReport, maxRelayedReports)}
@@ -178,9 +182,14 @@
 	n.pool = upstream.NewPool(upstream.Options{
 		Network: n.dialer, AnswerID: platform.AnswerID, CountDial: n.countDial, IsUsable: n.dialer.IsUsable, CheckPath: n.dialer.Check,
 	})
-	n.rolloutWrites = &writerelay.Store{Direct: n.stores.rollouts, Relays: storePaths.Relays, Client: n.peers}
+	relayed := func(direct *platform.Store) *writerelay.Store {
+		return &writerelay.Store{Direct: direct, Relays: storePaths.Relays, Client: n.peers}
+	}
+	n.writes = writes{
+		rollouts: relayed(n.stores.rollouts), crashReports: relayed(n.stores.crashReports), serverReports: relayed(n.stores.serverReports),
+	}
 	n.announcer = &nodelist.Announcer{
-		Store: &writerelay.Store{Direct: n.stores.announcement, Relays: storePaths.Relays, Client: n.peers}, MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
+		Store: relayed(n.stores.announcement), MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
 			Peers: opts.Settings.Listen.Peers, CPU: opts.Settings.Resources.CPU, Bandwidth: opts.Settings.Resources.Bandwidth,
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -90,13 +90,13 @@
 	if len(txn.Then) == 0 {
 		return nil
 	}
-	lease, err := n.stores.serverReports.Grant(ctx, selfreport.SharedTTL)
+	lease, err := n.writes.serverReports.Grant(ctx, selfreport.SharedTTL)
 	if err != nil {
 		return err
 	}
 	for i := range txn.Then {
 		txn.Then[i].Lease = lease.ID
 	}
-	_, err = n.stores.serverReports.Commit(ctx, txn)
+	_, err = n.writes.serverReports.Commit(ctx, txn)
 	return err
 }
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -155,7 +155,7 @@
 		}
 		txn.Then = append(txn.Then, kv.Op{Kind: kv.OpPut, Key: versionrollout.StartKey(service), Value: start})
 	}
-	result, err := n.rolloutWrites.Commit(ctx, txn)
+	result, err := n.writes.rollouts.Commit(ctx, txn)
 	if err != nil {
 		return err
 	}
--- a/internal/writerelay/writerelay.go
+++ b/internal/writerelay/writerelay.go
@@ -1,5 +1,5 @@
-// Package writerelay lets a node write to the store through another node while the store turns it away: its entry in the list of nodes, and the states of
-// roll-outs.
+// Package writerelay lets a node write to the store through another node while the store turns it away: its entry in the list of nodes, the states of
+// roll-outs, and what it has found out about servers and requests.
 package writerelay
 
 import (
@@ -8,15 +8,18 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/monsoonrail/monsoonrail/internal/crashes"
 	"github.com/monsoonrail/monsoonrail/internal/httpjson"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/selfreport"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/platform"
 )
@@ -46,7 +49,7 @@
 	opKeepAlive operation = "KeepAlive"
 	opWrite     operation = "Write"
 	opRevoke    operation = "Revoke"
-	// opCommit is a transaction that writes the state of a roll-out if nobody else has written it since.
+	// opCommit is a transaction that writes the state of a roll-out, or reports.
 	opCommit operation = "Commit"
 )
 
@@ -101,7 +104,7 @@
 	})
 }
 
-// isValid reports whether the call is one that a node makes for its entry or for the state of a roll-out: other keys are not written for it.
+// isValid reports whether the call is one that a node makes for its entry, the state of a roll-out or reports: other keys are not written for it.
 func (c *call) isValid() bool {
 	switch c.Operation {
 	case opGrant:
@@ -111,21 +114,26 @@
 	case opWrite:
 		return c.Lease != 0 && strings.HasPrefix(c.Key, nodelist.Prefix)
 	case opCommit:
-		return isRolloutState(kv.Txn{If: c.If, Then: c.Then})
+		return isRelayed(kv.Txn{If: c.If, Then: c.Then})
 	default:
 		return false
 	}
 }
 
-// isRolloutState reports whether a transaction writes the state of a roll-out, and perhaps its start, on conditions. Made twice it writes once.
-func isRolloutState(txn kv.Txn) bool {
-	for _, op := range txn.Then {
-		isState := strings.HasPrefix(op.Key, platform.PrefixRolloutStatus) || strings.HasPrefix(op.Key, versionrollout.StartKeyPrefix)
-		if op.Kind != kv.OpPut || op.Lease != 0 || !isState {
-			return false
-		}
+// isRelayed reports whether a transaction writes the state of a roll-out on conditions, or reports that end with a lease. Made twice it writes the same.
+func isRelayed(txn kv.Txn) bool {
+	if len(txn.Then) == 0 || len(txn.Else) > 0 {
+		return false
 	}
-	return len(txn.If) > 0 && len(txn.Then) > 0 && len(txn.Else) == 0
+	return !slices.ContainsFunc(txn.Then, func(op kv.Op) bool {
+		isState := hasPrefix(op.Key, platform.PrefixRolloutStatus, versionrollout.StartKeyPrefix) && len(txn.If) > 0 && op.Lease == 0
+		isReport := hasPrefix(op.Key, crashes.KeyPrefix, selfreport.KeyPrefix) && op.Lease != 0
+		return op.Kind != kv.OpPut || !isState && !isReport
+	})
+}
+
+func hasPrefix(key string, prefixes ...string) bool {
+	return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
 
 func (c *call) run(ctx context.Context, store nodelist.Store) (answer, error) {
@@ -176,21 +184,20 @@
 	return lease, err
 }
 
-// Commit implements nodelist.Store. Transactions other than the write of one key and that of the state of a roll-out are not relayed.
+// Commit implements nodelist.Store. Only entries, states of roll-outs and reports are written through another node.
 func (s *Store) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	result, err := s.Direct.Commit(ctx, txn)
-	if err == nil || kv.IsErrLeaseNotFound(err) {
-		return result, err
-	}
-	isWrite := len(txn.If) == 0 && len(txn.Then) == 1 && txn.Then[0].Kind == kv.OpPut
+	isEntry := len(txn.If) == 0 && len(txn.Then) == 1 && txn.Then[0].Kind == kv.OpPut && strings.HasPrefix(txn.Then[0].Key, nodelist.Prefix)
 	switch {
-	case isWrite:
+	case err == nil || kv.IsErrLeaseNotFound(err):
+		return result, err
+	case isEntry:
 		put := txn.Then[0]
 		if _, err = s.relay(ctx, call{Operation: opWrite, Lease: put.Lease, Key: put.Key, Value: put.Value}, err); err != nil {
 			return kv.TxnResult{}, err
 		}
 		return kv.TxnResult{Succeeded: true}, nil
-	case isRolloutState(txn):
+	case isRelayed(txn):
 		a, err := s.relay(ctx, call{Operation: opCommit, If: txn.If, Then: txn.Then}, err)
 		return kv.TxnResult{Succeeded: a.Succeeded}, err
 	default:
--- a/internal/writerelay/writerelay_test.go
+++ b/internal/writerelay/writerelay_test.go
@@ -162,11 +162,13 @@
 func TestOtherTransactionsAreNotRelayed(t *testing.T) {
 	state := stateTxn("status/rollout/calls")
 	for name, txn := range map[string]kv.Txn{
-		"an operator's key":   stateTxn("op/config"),
-		"no condition":        {Then: state.Then},
-		"nothing written":     {If: state.If},
-		"a deletion":          {If: state.If, Then: []kv.Op{{Kind: kv.OpDelete, Key: "status/rollout/calls"}}},
-		"with another branch": {If: state.If, Then: state.Then, Else: state.Then},
+		"an operator's key":      stateTxn("op/config"),
+		"report without a lease": {Then: []kv.Op{{Kind: kv.OpPut, Key: "monsoonrail/crashes/1/2"}}},
+		"entry among reports":    {Then: []kv.Op{{Kind: kv.OpPut, Key: "monsoonrail/crashes/1/2", Lease: 3}, {Kind: kv.OpPut, Key: "servers/m0", Lease: 3}}},
+		"no condition":           {Then: state.Then},
+		"nothing written":        {If: state.If},
+		"a deletion":             {If: state.If, Then: []kv.Op{{Kind: kv.OpDelete, Key: "status/rollout/calls"}}},
+		"with another branch":    {If: state.If, Then: state.Then, Else: state.Then},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -187,3 +189,17 @@
 		})
 	}
 }
+
+// TestReportsGoThroughAnotherNode has a node that the store rejects write several reports with one lease.
+func TestReportsGoThroughAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := &fakeStore{}
+		reports := kv.Txn{Then: []kv.Op{
+			{Kind: kv.OpPut, Key: "monsoonrail/crashes/1/2", Value: []byte("{}"), Lease: 3}, {Kind: kv.OpPut, Key: "monsoonrail/reports/4", Value: []byte("{}"), Lease: 3},
+		}}
+		result, err := relayOver(t, reached).Commit(t.Context(), reports)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, result.Succeeded, qt.IsTrue)
+		qt.Check(t, reached.txns, qt.DeepEquals, []kv.Txn{reports})
+	})
+}
