Name the new tests by what they check

TestLateServerIsNotAskedAgainAtOnce is TestLateServerIsAvoided, TestBadVersionEndsWhereTheStoreTurnsItsFinderAway is TestRejectedCollectorRevertsBadVersion, and TestCrashesAreKnownWhereTheStoreTurnsTheirFinderAway is TestRejectedNodesShareCrashReports. Names and comments only.

--- a/internal/dev/plain_hedge_test.go
+++ b/internal/dev/plain_hedge_test.go
@@ -20,8 +20,7 @@
 // billed once; hedges are at most a tenth of the calls, and a non-repeatable call always has exactly one run.
 func TestHedgePlainCalls(t *testing.T) {
 	const callers, calls, before, extra = 4, 400, 100, 2 * time.Second
-	// A late server is avoided for a while, and only half of its late calls may be moved to another: further rounds of calls, each after
-	// a pause, make sure that some are.
+	// Only half of the late calls may be hedged and a late server is avoided for a while. Further rounds after a pause ensure hedges.
 	const rounds, roundCalls, pause = 20, 10, 3 * time.Second
 	for _, test := range []struct {
 		name    string
@@ -102,9 +101,8 @@
 	}
 }
 
-// TestLateServerIsNotAskedAgainAtOnce lets a call wait for a slow server because no other server may take it. Its late answer shows that
-// the server is slow still, so that the next calls are run by others.
-func TestLateServerIsNotAskedAgainAtOnce(t *testing.T) {
+// TestLateServerIsAvoided makes calls right after a late answer of a slow server that could not be hedged. Other servers must run them.
+func TestLateServerIsAvoided(t *testing.T) {
 	const before, after, extra = 100, 50, 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, func(o *dev.Options) {
@@ -124,7 +122,7 @@
 		}
 		slow := b.system.PlainServers()[0]
 		slow.Delay(extra)
-		// Half of the calls may be moved away from the slow server; one of the others waits for it sooner or later.
+		// Wait for a late call that could not be hedged.
 		for ask() < extra {
 		}
 		runs := len(slow.Runs())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,7 +132,7 @@
 	mirror, announcement, relayedWrites, rollouts, crashReports, serverReports *platform.Store
 }
 
-// writes holds the stores of duties, which write through another node while the store turns this one away.
+// writes holds the relayed store clients of the duties that write.
 type writes struct {
 	rollouts, crashReports, serverReports *writerelay.Store
 }
--- a/internal/edge/rejected_collector_test.go
+++ b/internal/edge/rejected_collector_test.go
@@ -14,13 +14,13 @@
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
-// TestBadVersionEndsWhereTheStoreTurnsItsFinderAway has the store reject a third of the nodes during a roll-out that fails, each third in turn and so in one
-// case the node that collects the reports: the roll-out must be reverted about as soon as with a store that rejects none.
-func TestBadVersionEndsWhereTheStoreTurnsItsFinderAway(t *testing.T) {
+// TestRejectedCollectorRevertsBadVersion rejects the store calls of each third of the nodes in turn, one of which includes the collector of the roll-out's
+// reports. The bad version must be reverted in all cases.
+func TestRejectedCollectorRevertsBadVersion(t *testing.T) {
 	const (
 		nodes, thirds = 12, 3
 		interval      = 20 * time.Millisecond
-		mostTime      = 4 * time.Second
+		maxTime       = 4 * time.Second
 	)
 	for third := range thirds {
 		t.Run(fmt.Sprint("nodes ", third), func(t *testing.T) {
@@ -51,7 +51,7 @@
 				}
 				took := time.Since(ordered)
 				t.Logf("reverted after %s: %v", took, isReverted)
-				f.c.Check(took <= mostTime, qt.IsTrue)
+				f.c.Check(took <= maxTime, qt.IsTrue)
 				time.Sleep(5 * time.Second)
 			})
 		})
--- a/internal/edge/rejected_reports_test.go
+++ b/internal/edge/rejected_crash_reports_test.go
@@ -12,9 +12,9 @@
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
-// TestCrashesAreKnownWhereTheStoreTurnsTheirFinderAway has the store reject the nodes that pass on a request which crashes servers: the other nodes must know of
-// it before they send it to further ones.
-func TestCrashesAreKnownWhereTheStoreTurnsTheirFinderAway(t *testing.T) {
+// TestRejectedNodesShareCrashReports sends a crashing request to nodes whose store calls are rejected. The other nodes must know the request from the reports and
+// run it on no server.
+func TestRejectedNodesShareCrashReports(t *testing.T) {
 	const nodes, domains = 9, 3
 	withTestFleet(t, func(f *testFleet) {
 		for i := range nodes - len(f.nodes) {
@@ -24,7 +24,7 @@
 		f.addModelServer()
 		time.Sleep(2 * startTime)
 		f.store.Reject(f.nodes[0].ip, f.nodes[1].ip)
-		// By then the nodes read the store through others.
+		// The rejected nodes switch to reading the store through others.
 		time.Sleep(2 * time.Second)
 		f.parts = "bad:10"
 		for node := range 2 {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -244,7 +244,7 @@
 		return err
 	}
 	if p.hedgeTimer.wasOverdue() {
-		// An answer that came late shows that the server is slow still.
+		// A late answer does not show that the server has recovered.
 		server.MarkFailed(time.Now())
 	} else {
 		server.ClearFailure()
--- a/internal/writerelay/writerelay.go
+++ b/internal/writerelay/writerelay.go
@@ -1,5 +1,4 @@
-// Package writerelay lets a node write to the store through another node while the store turns it away: its entry in the list of nodes, the states of
-// roll-outs, and what it has found out about servers and requests.
+// Package writerelay writes a node's list entry, roll-out states and reports to the store through another node if the store rejects the node's own calls.
 package writerelay
 
 import (
@@ -49,7 +48,7 @@
 	opKeepAlive operation = "KeepAlive"
 	opWrite     operation = "Write"
 	opRevoke    operation = "Revoke"
-	// opCommit is a transaction that writes the state of a roll-out, or reports.
+	// opCommit is a transaction on roll-out states or reports.
 	opCommit operation = "Commit"
 )
 
@@ -104,7 +103,7 @@
 	})
 }
 
-// isValid reports whether the call is one that a node makes for its entry, the state of a roll-out or reports: other keys are not written for it.
+// isValid reports whether the call is limited to list entries, roll-out states and reports.
 func (c *call) isValid() bool {
 	switch c.Operation {
 	case opGrant:
@@ -120,7 +119,8 @@
 	}
 }
 
-// isRelayed reports whether a transaction writes the state of a roll-out on conditions, or reports that end with a lease. Made twice it writes the same.
+// isRelayed reports whether a transaction may be relayed: conditional writes of roll-out states, and writes of reports with a lease. Both are idempotent, so that
+// they can be retried after a lost response.
 func isRelayed(txn kv.Txn) bool {
 	if len(txn.Then) == 0 || len(txn.Else) > 0 {
 		return false
@@ -184,7 +184,7 @@
 	return lease, err
 }
 
-// Commit implements nodelist.Store. Only entries, states of roll-outs and reports are written through another node.
+// Commit implements nodelist.Store. Only writes of list entries, roll-out states and reports are relayed.
 func (s *Store) Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error) {
 	result, err := s.Direct.Commit(ctx, txn)
 	isEntry := len(txn.If) == 0 && len(txn.Then) == 1 && txn.Then[0].Kind == kv.OpPut && strings.HasPrefix(txn.Then[0].Key, nodelist.Prefix)
@@ -216,7 +216,7 @@
 
 // relay makes a call through the first of the nodes that makes it; without one it returns the error of the call to the store itself. A call that got no
 // answer may have been made: made again, it renews, writes or ends the same lease, leaves one
-// that ends by itself, or finds that the conditions of its transaction hold no more.
+// that ends by itself, or fails the conditions of its transaction.
 func (s *Store) relay(ctx context.Context, c call, direct error) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
--- a/internal/writerelay/writerelay_test.go
+++ b/internal/writerelay/writerelay_test.go
@@ -144,9 +144,8 @@
 	}
 }
 
-// TestStatesOfRolloutsGoThroughAnotherNode has a node that the store rejects write the state of a roll-out: the conditions go with it, and their result comes
-// back.
-func TestStatesOfRolloutsGoThroughAnotherNode(t *testing.T) {
+// TestRolloutStatesAreRelayed checks that the conditions of a roll-out state are relayed and their result is returned.
+func TestRolloutStatesAreRelayed(t *testing.T) {
 	for _, refuses := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			rejected, reached := &fakeStore{err: errRejected}, &fakeStore{refuses: refuses}
@@ -158,7 +157,7 @@
 	}
 }
 
-// TestOtherTransactionsAreNotRelayed has a node ask for transactions that are not its own to make, and another be asked for them.
+// TestOtherTransactionsAreNotRelayed checks that neither side of a relayed call accepts any other transaction.
 func TestOtherTransactionsAreNotRelayed(t *testing.T) {
 	state := stateTxn("status/rollout/calls")
 	for name, txn := range map[string]kv.Txn{
@@ -190,8 +189,8 @@
 	}
 }
 
-// TestReportsGoThroughAnotherNode has a node that the store rejects write several reports with one lease.
-func TestReportsGoThroughAnotherNode(t *testing.T) {
+// TestReportsAreRelayed relays several reports with one lease.
+func TestReportsAreRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reached := &fakeStore{}
 		reports := kv.Txn{Then: []kv.Op{
