Test the timeouts of routes, callers that leave, early answers and changes under way

Seen to fail: TestTimeoutsOfRoutes without the route's timeout (3 of 3 cases), TestRequestsEndWithTheirCaller without the caller's context (2 of 4).

--- a/internal/fake/platformfake/server.go
+++ b/internal/fake/platformfake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -63,6 +64,8 @@
 	freed                        chan struct{}
 	// arrivals lists the requests that reached the server, including those that it rejected.
 	arrivals []Arrival
+	// abandoned lists the ids of the runs whose connection was closed before their answer was complete.
+	abandoned []string
 }
 
 // Arrival is a request that reached a server.
@@ -233,8 +236,10 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	// The HTTP server notices a closed connection only once the body has been read.
+	_, _ = io.Copy(io.Discard, req.Body)
 	if !wait(req, latency) {
-		panic(http.ErrAbortHandler)
+		s.abandon(req)
 	}
 	crashAfter := -1
 	if s.opts.CrashingPart != "" && strings.Contains(header.Get("Prompt-Prefix"), s.opts.CrashingPart+":") {
@@ -265,6 +270,21 @@
 	s.stream(w, req, truncateAfter, crashAfter)
 }
 
+// Abandoned returns the ids of the runs whose connection was closed before their answer was complete.
+func (s *Server) Abandoned() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.abandoned)
+}
+
+// abandon records a run whose connection was closed, and ends the handler that calls it.
+func (s *Server) abandon(req *http.Request) {
+	s.mu.Lock()
+	s.abandoned = append(s.abandoned, req.Header.Get("Attempt-Id"))
+	s.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
 // crash ends the server's process, and with it the handler that calls it.
 func (s *Server) crash() {
 	s.opts.Crash()
@@ -306,7 +326,7 @@
 	first := firstEvent(req)
 	for n := first; n <= s.opts.Events; n++ {
 		if n > first && !wait(req, s.opts.Pause) {
-			panic(http.ErrAbortHandler)
+			s.abandon(req)
 		}
 		if truncateAfter > 0 && n-first == truncateAfter {
 			// The connection ends within an event, as when a server crashes.
