--- /dev/null
+++ b/internal/connguard/conn.go
@@ -0,0 +1,133 @@
+package connguard
+
+import (
+	"container/list"
+	"io"
+	"net"
+	"time"
+)
+
+// conn is a connection of a Listener, whose lock guards the fields from queue on.
+type conn struct {
+	net.Conn
+	listener *Listener
+	// head holds the part of a head that has been read until the rest of it is; only the goroutine that reads uses it.
+	head head
+
+	// queue is the one that holds the connection at place; nil while it has a request.
+	queue *list.List
+	place *list.Element
+	// waitsFrom is when the connection was opened, its last request ended or the first byte of a further one arrived.
+	waitsFrom time.Time
+	// headBytes is the number of bytes read since then, bytes the memory that is counted for the connection.
+	headBytes int
+	bytes     int64
+	// isHandedOver means that the server has got the head, or a part of one that it refuses.
+	isHandedOver bool
+	// isEnded means that no request is served any more, isForgotten that the connection counts no more.
+	isEnded, isForgotten bool
+}
+
+// Read implements net.Conn. It returns nothing of a head before the end of it has arrived, since the server makes fields, which take many times its memory,
+// of each part.
+func (c *conn) Read(p []byte) (int, error) {
+	if n := c.head.handOver(p); n > 0 || len(p) == 0 {
+		return n, nil
+	}
+	for c.listener.isReadingHead(c) {
+		to := c.head.room(p, c.listener.opts.Limits().MaxHeadBytes)
+		n, err := c.Conn.Read(to)
+		if n == 0 {
+			c.head.release()
+			return 0, err
+		}
+		fields := c.head.add(to[:n])
+		if cause, ok := c.listener.grow(c, n, fields); !ok {
+			c.head.release()
+			if cause != "" {
+				c.listener.opts.Count(cause)
+				c.part(cause)
+			}
+			// The server closes the connection without an answer of its own after an error of this type.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		}
+		if fields == nil {
+			c.head.hold(to[:n])
+			continue
+		}
+		if !c.head.isHeld() {
+			c.head.release()
+			return n, err
+		}
+		c.head.extend(n)
+		return c.head.handOver(p), nil
+	}
+	n, err := c.Conn.Read(p)
+	if cause, ok := c.listener.grow(c, n, p[:n]); !ok {
+		if cause != "" {
+			c.listener.opts.Count(cause)
+			c.part(cause)
+		}
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+	}
+	return n, err
+}
+
+// part refuses the request whose head is being read, and takes some of what is still on its way: unread bytes would reset the connection, and the refusal
+// with it.
+func (c *conn) part(cause Cause) {
+	if cause != HeadTooLarge {
+		refuse(c.Conn, refusalNoRoom, partingTime)
+		return
+	}
+	refuse(c.Conn, refusalTooLarge, partingTime)
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(partingTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, partingBytes)
+}
+
+// refuseAndClose refuses the request whose head was being read, if there was one, and closes the connection.
+func (c *conn) refuseAndClose(refusal string) {
+	if c.headBytes > 0 {
+		refuse(c.Conn, refusal, shortTime)
+	}
+	_ = c.Conn.Close()
+}
+
+// begin records that a request is served, and reports false if the connection has ended. The server doesn't tell its ConnState of a request that it read together
+// with the one before.
+func (c *conn) begin() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.isEnded {
+		return false
+	}
+	c.listener.leaveQueue(c)
+	return true
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	l := c.listener
+	l.mu.Lock()
+	l.leaveQueue(c)
+	l.forget(c)
+	l.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the direction to the client.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets what Close does, as that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connguard/listener.go
@@ -0,0 +1,315 @@
+// Package connguard bounds what the clients of an HTTP server hold before a request of theirs is read: connections, the memory of heads, and time.
+package connguard
+
+import (
+	"bytes"
+	"container/list"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of the package.
+var Error = errs.Class("connguard")
+
+const (
+	// connBytes is what a connection without a head takes: its goroutine, its buffers, and bytes that have arrived and are not read.
+	connBytes = 32 << 10
+	// headByteFactor is the memory that a byte of a head takes in a buffer, and again in its fields, headLineBytes that of a field beside its text.
+	headByteFactor = 2
+	headLineBytes  = 400
+	// bufferBytes is the size of the server's read buffer, by which a read may go beyond a head.
+	bufferBytes = 4 << 10
+	// standstill is added to the clients' time limits, since a node may stand still for a moment itself.
+	standstill = 2 * time.Second
+	// partingTime and partingBytes bound the reading of a connection after a refusal, which a client might not get otherwise.
+	partingTime  = 500 * time.Millisecond
+	partingBytes = 64 << 10
+	// shortTime bounds the sending of a refusal where others wait for it; it only takes time if the client leaves answers unread.
+	shortTime = 5 * time.Millisecond
+)
+
+// Limits are those that clients keep.
+type Limits struct {
+	// MaxHeadBytes bounds the head of a request.
+	MaxHeadBytes int
+	// HeadTimeout bounds the time from the opening of a connection, or the first byte of a further request, to the end of the head, IdleTimeout the time
+	// between two requests.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
+// Cause is why a connection was closed or refused.
+type Cause string
+
+// Causes.
+const (
+	// HeadTooLarge and HeadTooSlow mean that a client didn't keep the limits of a head.
+	HeadTooLarge Cause = "head too large"
+	HeadTooSlow  Cause = "head too slow"
+	// IdleTooLong means that no further request came.
+	IdleTooLong Cause = "idle too long"
+	// MadeRoom means that a connection without a request was closed for others, NoRoom that there was none to close.
+	MadeRoom Cause = "made room"
+	NoRoom   Cause = "no room"
+)
+
+// Options configures New.
+type Options struct {
+	Listener net.Listener
+	// MaxConns bounds the connections, MaxBytes the memory that they and their heads take.
+	MaxConns int
+	MaxBytes int64
+	// Limits returns those in force.
+	Limits func() Limits
+	// Count counts a connection that was closed or refused.
+	Count func(cause Cause)
+}
+
+// Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState, and its handler wrapped by Handler. When
+// a bound is reached, the connection that has waited longest without a request is closed first, and one that never had a request before one that had.
+type Listener struct {
+	net.Listener
+	opts Options
+
+	mu    sync.Mutex
+	conns int
+	bytes int64
+	// unproven and idle hold the connections without a request, of which the latter have had one; those that have waited longest come first.
+	unproven, idle *list.List
+}
+
+// New returns a listener that wraps another one.
+func New(opts Options) *Listener {
+	return &Listener{Listener: opts.Listener, opts: opts, unproven: list.New(), idle: list.New()}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: accepted, listener: l}
+		if l.add(c) {
+			return c, nil
+		}
+		l.opts.Count(NoRoom)
+		refuse(accepted, refusalNoRoom, shortTime)
+		_ = accepted.Close()
+	}
+}
+
+// add makes room for a connection, and reports false if there is none.
+func (l *Listener) add(c *conn) bool {
+	l.mu.Lock()
+	var ended []*conn
+	for l.conns >= l.opts.MaxConns || l.bytes+connBytes > l.opts.MaxBytes {
+		victim := l.longestWaiting(nil)
+		if victim == nil {
+			break
+		}
+		l.end(victim)
+		ended = append(ended, victim)
+	}
+	hasRoom := l.conns < l.opts.MaxConns && l.bytes+connBytes <= l.opts.MaxBytes
+	if hasRoom {
+		l.conns++
+		c.bytes = connBytes
+		l.bytes += connBytes
+		c.waitsFrom = time.Now()
+		c.place, c.queue = l.unproven.PushBack(c), l.unproven
+	}
+	l.mu.Unlock()
+	l.closeForRoom(ended)
+	return hasRoom
+}
+
+// isReadingHead reports whether the bytes that come next on a connection are those of a head that the server hasn't got.
+func (l *Listener) isReadingHead(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.queue != nil && !c.isHandedOver
+}
+
+// grow counts bytes that were read, if they are those of a head, and the memory of the fields that the server makes of some; nil means of none yet. Other connections
+// may have to be closed for it. It returns false if the connection has ended, or has to for a cause.
+func (l *Listener) grow(c *conn, read int, fields []byte) (Cause, bool) {
+	l.mu.Lock()
+	if c.isEnded || c.queue == nil {
+		defer l.mu.Unlock()
+		return "", !c.isEnded
+	}
+	if c.headBytes == 0 && c.queue == l.idle {
+		// From now on the time is that of a head.
+		c.waitsFrom = time.Now()
+		l.idle.MoveToBack(c.place)
+	}
+	if c.headBytes += read; fields != nil && !c.isHandedOver {
+		// What follows on the head is no part of it.
+		c.headBytes = len(fields)
+	}
+	if limit := l.opts.Limits().MaxHeadBytes; limit > 0 && c.headBytes > limit+bufferBytes {
+		// The connection counts until its client has had the time to take the refusal.
+		c.isEnded = true
+		l.leaveQueue(c)
+		c.place, c.queue = l.unproven.PushFront(c), l.unproven
+		l.mu.Unlock()
+		return HeadTooLarge, false
+	}
+	wanted := int64(headByteFactor * read)
+	if fields != nil {
+		c.isHandedOver = true
+		wanted += int64(headByteFactor*len(fields) + headLineBytes*bytes.Count(fields, []byte{'\n'}))
+	}
+	var ended []*conn
+	for l.bytes+wanted > l.opts.MaxBytes {
+		victim := l.longestWaiting(c)
+		if victim == nil {
+			break
+		}
+		l.end(victim)
+		ended = append(ended, victim)
+	}
+	hasRoom := l.bytes+wanted <= l.opts.MaxBytes
+	if hasRoom {
+		c.bytes += wanted
+		l.bytes += wanted
+	} else {
+		l.end(c)
+	}
+	l.mu.Unlock()
+	l.closeForRoom(ended)
+	return NoRoom, hasRoom
+}
+
+// longestWaiting returns the connection to close first; nil if there is none but the given one.
+func (l *Listener) longestWaiting(except *conn) *conn {
+	for _, queue := range []*list.List{l.unproven, l.idle} {
+		for e := queue.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*conn); c != except {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// end takes a connection out of all counts. It must be closed afterwards; no request of it is served any more.
+func (l *Listener) end(c *conn) {
+	c.isEnded = true
+	l.leaveQueue(c)
+	l.forget(c)
+}
+
+func (l *Listener) leaveQueue(c *conn) {
+	if c.queue != nil {
+		c.queue.Remove(c.place)
+		c.queue, c.place = nil, nil
+	}
+}
+
+func (l *Listener) forget(c *conn) {
+	if !c.isForgotten {
+		c.isForgotten = true
+		l.conns--
+		l.bytes -= c.bytes
+	}
+}
+
+// closeForRoom closes connections that have ended for others.
+func (l *Listener) closeForRoom(ended []*conn) {
+	for _, c := range ended {
+		l.opts.Count(MadeRoom)
+		c.refuseAndClose(refusalNoRoom)
+	}
+}
+
+// ConnState is the hook of the http.Server.
+func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		l.leaveQueue(c)
+	case http.StateIdle:
+		if c.isForgotten {
+			return
+		}
+		l.leaveQueue(c)
+		l.bytes -= c.bytes - connBytes
+		c.bytes, c.headBytes, c.isHandedOver, c.waitsFrom = connBytes, 0, false, time.Now()
+		c.place, c.queue = l.idle.PushBack(c), l.idle
+	}
+}
+
+// Handler returns a handler that serves no request of a connection that has ended: its client may have been told so. The connection is the value of the
+// request's context that connOf returns.
+func Handler(next http.Handler, connOf func(req *http.Request) net.Conn) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if c, ok := connOf(req).(*conn); ok && !c.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// Sweep closes the connections that have taken too long.
+func (l *Listener) Sweep(now time.Time) {
+	limits := l.opts.Limits()
+	type late struct {
+		conn  *conn
+		cause Cause
+	}
+	var all []late
+	l.mu.Lock()
+	for _, queue := range []*list.List{l.unproven, l.idle} {
+		var next *list.Element
+		for e := queue.Front(); e != nil; e = next {
+			next = e.Next()
+			c := e.Value.(*conn)
+			cause, most := HeadTooSlow, limits.HeadTimeout
+			if queue == l.idle && c.headBytes == 0 {
+				cause, most = IdleTooLong, limits.IdleTimeout
+			}
+			if most > 0 && now.Sub(c.waitsFrom) > most+standstill {
+				l.end(c)
+				all = append(all, late{c, cause})
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, end := range all {
+		l.opts.Count(end.cause)
+		end.conn.refuseAndClose(refusalTooSlow)
+	}
+}
+
+// Usage returns the number of open connections and the memory that is counted for them.
+func (l *Listener) Usage() (conns int, memory int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns, l.bytes
+}
+
+// Refusals of requests that were not read; none of them has run.
+const (
+	refusalTail     = "Connection: close\r\nContent-Length: 0\r\n\r\n"
+	refusalTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\n" + refusalTail
+	refusalTooSlow  = "HTTP/1.1 408 Request Timeout\r\n" + refusalTail
+	refusalNoRoom   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + refusalTail
+)
+
+// refuse sends a refusal; a client that doesn't take it doesn't get it.
+func refuse(to net.Conn, refusal string, within time.Duration) {
+	_ = to.SetWriteDeadline(time.Now().Add(within))
+	_, _ = io.WriteString(to, refusal)
+}
