--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 SOAK_SEEDS ?= 1
 export SOAK_SEED SOAK_SECONDS SOAK_NODES SOAK_FAULTS SOAK_FAILED
 soak:
-	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^TestSoak$$' -v
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^Test(Edge)?Soak$$' -v
 
 # sites plays days on drawn sites in virtual time, eight at a time; SITE_SEED is the first seed, SITE_SEEDS their number.
 SITE_SEED ?= 1000
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
+	"github.com/monsoonrail/monsoonrail/internal/warmup"
 )
 
+// slowdownWeight is the weight of one report in the moving average of the slowdown.
+const slowdownWeight = 0.02
+
 // loadMemory is the time in which the weight of a load report in the mean of its service falls to 1/e.
 const loadMemory = 500 * time.Millisecond
 
@@ -21,11 +25,15 @@
 	// inFlight counts this node's requests at all servers of the service.
 	inFlight atomic.Int64
 	place    *place
+	// warmUp is how the servers warm up; nil until it is known.
+	warmUp atomic.Pointer[warmup.Policy]
 
 	mu sync.Mutex
 	// sum is the sum of the other nodes' requests in the reports and weight that of the reports, both as of at.
 	sum, weight float64
 	at          time.Time
+	// slowdown is the moving average of what the servers say of how slow their machines are; 0 before the first one.
+	slowdown float64
 	// brittleness is what the servers have said of themselves.
 	brittleness selfreport.Brittleness
 }
@@ -37,6 +45,19 @@
 	l.brittleness.Record(report, now)
 }
 
+// warmUpPolicy returns how the servers warm up.
+func (l *ServiceLoad) warmUpPolicy() warmup.Policy {
+	if policy := l.warmUp.Load(); policy != nil {
+		return *policy
+	}
+	return warmup.Policy{}
+}
+
+// warmUpTurn returns this node's turn at a server at which the order of the nodes begins at offset; nodes is the number of nodes.
+func (l *ServiceLoad) warmUpTurn(offset float64, nodes int) warmup.Turn {
+	return warmup.Turn{Rank: int(l.place.rank.Load()), Nodes: nodes, Offset: offset}
+}
+
 // isBrittle reports whether the servers are brittle.
 func (l *ServiceLoad) isBrittle(now time.Time) bool {
 	l.mu.Lock()
@@ -59,13 +80,27 @@
 	return state.CheckRoom(&l.brittleness, inFlight, turn, now)
 }
 
-// record takes in the number of other nodes' requests at a server by its load report.
-func (l *ServiceLoad) record(peerInFlight int, now time.Time) {
+// record takes in a server's load report; own is the number of this node's requests at the server.
+func (l *ServiceLoad) record(load Load, own int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
-	l.sum += float64(max(0, peerInFlight))
+	l.sum += float64(max(0, load.Running+load.Waiting-own))
 	l.weight++
+	switch {
+	case load.Slowdown <= 0:
+	case l.slowdown == 0:
+		l.slowdown = load.Slowdown
+	default:
+		l.slowdown += slowdownWeight * (load.Slowdown - l.slowdown)
+	}
+}
+
+// meanSlowdown returns how many times as long as usual work takes on the servers' machines on average; 0 if unknown.
+func (l *ServiceLoad) meanSlowdown() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.slowdown
 }
 
 // decay reduces the weight of earlier reports; the caller holds l.mu.
--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
+	"github.com/monsoonrail/monsoonrail/internal/serverpace"
+	"github.com/monsoonrail/monsoonrail/internal/warmup"
+	"github.com/monsoonrail/monsoonrail/internal/workload"
 )
 
 const (
@@ -37,12 +40,18 @@
 	turnOffset float64
 
 	mu sync.Mutex
-	// inFlight counts this node's requests at the server, and pendingPromptTokens the prompt tokens of those without a first byte.
-	inFlight            int
-	pendingPromptTokens int
+	// inFlight counts this node's requests at the server.
+	inFlight int
 	// reported is what the server has reported about itself, and inFlightAtReport the value of inFlight at its last load report.
 	reported         selfreport.State
 	inFlightAtReport int
+	// unread is the work before the first events of this node's requests, and peers what the other nodes know and have under way.
+	unread workload.Work
+	peers  workload.Peers
+	// pace is that of the recent answers to this node.
+	pace serverpace.Pace
+	// warmUp is whether the server is cold, and this node's requests to it since.
+	warmUp warmup.State
 	// consecutiveFailures counts failures since the last success.
 	consecutiveFailures int
 	avoidUntil          time.Time
@@ -61,15 +70,20 @@
 
 // View is a snapshot of a tracked server's state.
 type View struct {
-	InFlight            int
-	PendingPromptTokens int
-	Load                Load
-	HasLoad             bool
-	LoadAge             time.Duration
-	InFlightAtReport    int
-	IsAvoided           bool
-	FailureShare        float64
-	Slowness            float64
+	InFlight         int
+	Load             Load
+	HasLoad          bool
+	LoadAge          time.Duration
+	InFlightAtReport int
+	IsAvoided        bool
+	FailureShare     float64
+	// Slowness is how many times as long as at a usual server work takes now, by the answers to all nodes and the server's own report.
+	Slowness float64
+	// Unread is the work before the first events of this node's requests, and Peers what the other nodes know and have under way, as of PeersAge
+	// ago.
+	Unread   workload.Work
+	Peers    workload.Peers
+	PeersAge time.Duration
 }
 
 // View returns a snapshot of the state at the given time.
@@ -78,26 +92,44 @@
 	defer s.mu.Unlock()
 	load, age, ok := s.reported.Load(now)
 	return View{
-		InFlight: s.inFlight, PendingPromptTokens: s.pendingPromptTokens,
-		Load: load, HasLoad: ok, LoadAge: age, InFlightAtReport: s.inFlightAtReport,
-		IsAvoided: now.Before(s.avoidUntil), FailureShare: s.failureShare, Slowness: s.slowness,
+		InFlight: s.inFlight,
+		Load:     load, HasLoad: ok, LoadAge: age, InFlightAtReport: s.inFlightAtReport,
+		IsAvoided: now.Before(s.avoidUntil), FailureShare: s.failureShare, Slowness: s.slownessNow(load, age, now),
+		Unread: s.unread, Peers: s.peers, PeersAge: now.Sub(s.peers.At),
 	}
 }
 
-// Begin counts a request sent to the server; tokens is the length of its prompt.
-func (s *TrackedServer) Begin(tokens int) {
+// slownessNow returns the server's slowness; load is its last load report, received age ago. The caller holds s.mu.
+func (s *TrackedServer) slownessNow(load Load, age time.Duration, now time.Time) float64 {
+	recent := s.pace.At(now).Add(serverpace.Aged(s.peers.Pace, now.Sub(s.peers.At)))
+	slowdown := load.Slowdown
+	if s.peers.Slowdown > 0 && (slowdown == 0 || now.Sub(s.peers.SlowdownAt) < age) {
+		slowdown, age = s.peers.Slowdown, now.Sub(s.peers.SlowdownAt)
+	}
+	return serverpace.Slowness(recent, s.slowness) * serverpace.SlowdownFactor(slowdown, s.service.meanSlowdown(), age)
+}
+
+// ObserveTime records how long the server took for a part of an answer, and how long a usual server would have.
+func (s *TrackedServer) ObserveTime(took, expected time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace.Add(took, expected, now)
+}
+
+// Begin counts a request sent to the server; unread is the work before its first event.
+func (s *TrackedServer) Begin(unread workload.Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight++
 	s.service.inFlight.Add(1)
-	s.pendingPromptTokens += tokens
+	s.unread += unread
 }
 
-// FirstByte records that the server has read a request's prompt of the given length.
-func (s *TrackedServer) FirstByte(tokens int) {
+// FirstByte records that the server has done the work before a request's first event.
+func (s *TrackedServer) FirstByte(unread workload.Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pendingPromptTokens -= tokens
+	s.unread -= unread
 }
 
 // ObserveLatencyRatio records the ratio of an answer's latency to that of all servers for the same kind of answer.
@@ -135,13 +167,13 @@
 	return len(keys)
 }
 
-// End counts the end of a request; tokens is the length of its prompt, or 0 after FirstByte.
-func (s *TrackedServer) End(tokens int) {
+// End counts the end of a request; unread is the work before its first event, or 0 after FirstByte.
+func (s *TrackedServer) End(unread workload.Work) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
 	s.service.inFlight.Add(-1)
-	s.pendingPromptTokens -= tokens
+	s.unread -= unread
 }
 
 // RecordReport records what the server reported about itself, received now in the answer to a request sent at sentAt.
@@ -150,12 +182,26 @@
 	defer s.mu.Unlock()
 	if report.HasLoad {
 		s.inFlightAtReport = s.inFlight
-		s.service.record(report.Load.Running+report.Load.Waiting-s.inFlight, now)
+		s.service.record(report.Load, s.inFlight, now)
 	}
 	s.service.recordBrittleness(report, now)
 	return s.reported.Record(report, share, sentAt, now)
 }
 
+// MarkCold records that the server is cold for a time from now on, and reports whether it was warm before.
+func (s *TrackedServer) MarkCold(left time.Duration, now time.Time) (isNews bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmUp.Extend(left, now)
+}
+
+// IsCold reports whether the server is cold and takes fewer requests for that.
+func (s *TrackedServer) IsCold(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmUp.IsCold(now) && s.service.warmUpPolicy().IsLimited()
+}
+
 // RecordSuccess records a successful answer.
 func (s *TrackedServer) RecordSuccess() {
 	s.mu.Lock()
@@ -243,7 +289,13 @@
 // admission is Admission for callers that hold s.mu.
 func (s *TrackedServer) admission(nodes int, now time.Time) selfreport.Decision {
 	decision := s.reported.Check(nodes, now)
-	if decision.Verdict != selfreport.Admitted || !s.service.isBrittle(now) {
+	if decision.Verdict != selfreport.Admitted {
+		return decision
+	}
+	if next := s.warmUp.NextAt(s.service.warmUpPolicy(), s.service.warmUpTurn(s.turnOffset, nodes), now); next.After(now) {
+		return selfreport.Decision{Verdict: selfreport.Warming, Until: next}
+	}
+	if !s.service.isBrittle(now) {
 		return decision
 	}
 	return s.service.checkRoom(&s.reported, s.expectedInFlight(now), s.turnOffset, now)
@@ -262,6 +314,7 @@
 	if decision := s.admission(nodes, now); decision.Verdict != selfreport.Admitted {
 		return decision
 	}
+	s.warmUp.Sent(now)
 	s.reported.TakeRoom(s.expectedInFlight(now), now)
 	return s.reported.Take(nodes, now)
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -29,6 +30,8 @@
 type Locality struct {
 	Node          api.NodeID
 	FailureDomain api.FailureDomain
+	// Regions holds the regions of the failure domains.
+	Regions region.Map
 }
 
 // Pool is an immutable list of servers that may run the same requests.
@@ -148,6 +151,7 @@
 	all *Pool
 	// of holds the servers of each version, without those of all other versions; both are nil with a single version.
 	of, without map[route.ServiceVersion]*Pool
+	restricted  restrictedPools
 }
 
 // newServicePools returns the pools of servers, which are ordered by id. Pools of unchanged servers are those of old, which may be nil.
@@ -175,36 +179,29 @@
 var emptyPool = newPool(nil, Locality{})
 
 // Pool returns the servers of a service that weren't leaving when the entries were last replaced.
-func (s *Set) Pool(service route.Service) *Pool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if pools, ok := s.services[service]; ok {
-		return pools.all
-	}
-	return emptyPool
-}
+func (s *Set) Pool(service route.Service) *Pool { return s.PoolWithin(service, region.Set{}) }
 
 // PoolOf returns the servers of a service's version, or those of all other versions if isOther is set.
 func (s *Set) PoolOf(service route.Service, version route.ServiceVersion, isOther bool) *Pool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	pools, ok := s.services[service]
+	return s.PoolOfWithin(service, version, isOther, region.Set{})
+}
+
+// ofVersion returns the servers of a version, or those of all other versions if isOther is set.
+func (p *servicePools) ofVersion(version route.ServiceVersion, isOther bool) *Pool {
 	switch {
-	case !ok:
-		return emptyPool
-	case pools.of == nil:
-		hasVersion := len(pools.all.servers) > 0 && pools.all.servers[0].Version == version
+	case p.of == nil:
+		hasVersion := len(p.all.servers) > 0 && p.all.servers[0].Version == version
 		if hasVersion == isOther {
 			return emptyPool
 		}
-		return pools.all
+		return p.all
 	case isOther:
-		if pool, ok := pools.without[version]; ok {
+		if pool, ok := p.without[version]; ok {
 			return pool
 		}
-		return pools.all
+		return p.all
 	}
-	if pool, ok := pools.of[version]; ok {
+	if pool, ok := p.of[version]; ok {
 		return pool
 	}
 	return emptyPool
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -24,8 +24,9 @@
 	IsLeaving bool
 	// Start is the server's start time in Unix milliseconds, 0 if unknown. A server may restart under the same id.
 	Start int64
-	// WarmUpLeft is the remaining time during which the server is slow after its start.
-	WarmUpLeft time.Duration
+	// WarmUpLeft is how much longer the server is cold, as of the entry; valid if HasWarmUpLeft.
+	WarmUpLeft    time.Duration
+	HasWarmUpLeft bool
 }
 
 // Load is a server's own report of its running and waiting requests and of its slots.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -25,6 +25,10 @@
 	services map[route.Service]*servicePools
 	// loads holds the load of each service; entries are never removed.
 	loads map[route.Service]*ServiceLoad
+	// evacuated holds the failure domains whose servers take no requests.
+	evacuated map[api.FailureDomain]bool
+	// hasServers is set once the entries were replaced by some. From then on a server without an earlier entry has just started.
+	hasServers bool
 	// departed holds the reports of servers without an entry, the longest departed first; at most maxDeparted.
 	departed []departedServer
 	// paces holds the moving average of the pace (latency relative to size) of each kind of answer.
@@ -53,33 +57,28 @@
 // Replace replaces all entries. A server keeps its state as long as its start time and address are unchanged, and what it has reported also
 // while it has no entry. Replace returns the addresses that no server uses any more.
 func (s *Set) Replace(servers []Server) (freed []string) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := make(map[api.ServerID]*TrackedServer, len(servers))
-	services := make(map[route.Service][]*TrackedServer)
 	byAddress := make(map[string]*TrackedServer, len(servers))
 	for _, server := range servers {
 		tracked, ok := s.servers[server.ID]
 		switch {
 		case !ok || tracked.Start != server.Start || tracked.Address != server.Address:
 			tracked = newTrackedServer(server, s.loadOf(server.Service))
-			tracked.reported = s.takeDeparted(server)
+			var isBack bool
+			tracked.reported, isBack = s.takeDeparted(server)
+			tracked.MarkCold(s.coldTime(server, isBack || !s.hasServers), now)
 		case tracked.Server != server:
 			tracked = &TrackedServer{Server: server, serverState: tracked.serverState}
+			tracked.MarkCold(server.WarmUpLeft, now)
 		}
 		if server.IsLeaving {
 			tracked.MarkLeaving()
 		}
 		next[server.ID] = tracked
 		byAddress[server.Address] = tracked
-		if !tracked.IsOutOfService() {
-			services[server.Service] = append(services[server.Service], tracked)
-		}
-	}
-	pools := make(map[route.Service]*servicePools, len(services))
-	for service, list := range services {
-		slices.SortFunc(list, func(a, b *TrackedServer) int { return cmp.Compare(a.ID, b.ID) })
-		pools[service] = newServicePools(list, s.at, s.services[service])
 	}
 	for _, old := range s.servers {
 		if byAddress[old.Address] == nil {
@@ -90,20 +89,47 @@
 		}
 	}
 	s.departed = s.departed[max(0, len(s.departed)-maxDeparted):]
-	s.servers, s.byAddress, s.services = next, byAddress, pools
+	s.servers, s.byAddress = next, byAddress
+	s.hasServers = s.hasServers || len(servers) > 0
+	s.rebuildPools()
 	return freed
 }
 
+// coldTime returns how much longer a server is cold of which this node had no state. One that wasn't running before has just started, and
+// may be cold although its entry doesn't say so yet. The caller holds s.mu.
+func (s *Set) coldTime(server Server, wasRunning bool) time.Duration {
+	if server.HasWarmUpLeft && wasRunning {
+		return server.WarmUpLeft
+	}
+	return max(server.WarmUpLeft, s.loadOf(server.Service).warmUpPolicy().Duration)
+}
+
+// rebuildPools rebuilds the pools from the servers in service; the caller holds s.mu.
+func (s *Set) rebuildPools() {
+	services := make(map[route.Service][]*TrackedServer)
+	for _, tracked := range s.servers {
+		if !tracked.IsOutOfService() && !s.evacuated[tracked.FailureDomain] {
+			services[tracked.Service] = append(services[tracked.Service], tracked)
+		}
+	}
+	pools := make(map[route.Service]*servicePools, len(services))
+	for service, list := range services {
+		slices.SortFunc(list, func(a, b *TrackedServer) int { return cmp.Compare(a.ID, b.ID) })
+		pools[service] = newServicePools(list, s.at, s.services[service])
+	}
+	s.services = pools
+}
+
 // takeDeparted returns what a server whose entry is back has reported, and forgets it here. Without a start time an entry that is back can't
 // be told from that of a new start. The caller holds s.mu.
-func (s *Set) takeDeparted(server Server) selfreport.State {
+func (s *Set) takeDeparted(server Server) (reported selfreport.State, isBack bool) {
 	for i, old := range s.departed {
 		if old.id == server.ID && old.start == server.Start && old.address == server.Address {
 			s.departed = slices.Delete(s.departed, i, i+1)
-			return old.reported
+			return old.reported, true
 		}
 	}
-	return selfreport.State{}
+	return selfreport.State{}, false
 }
 
 // loadOf returns the load of a service; the caller holds s.mu.
--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -21,21 +21,23 @@
 
 // configOptions holds the subcommands of "monsoonrail config".
 type configOptions struct {
-	Check   configCheckOptions   `command:"check" description:"Check configuration files, offline"`
-	Plan    configPlanOptions    `command:"plan" description:"Show what files would change and whom that touches"`
-	Apply   configApplyOptions   `command:"apply" description:"Have files accepted as the fleet's configuration"`
-	History configHistoryOptions `command:"history" description:"Show the accepted changes, newest first"`
-	Explain configExplainOptions `command:"explain" description:"Show what is in force for a team and service, and why"`
+	Check   configCheckOptions       `command:"check" description:"Check configuration files, offline"`
+	Routes  configCheckRoutesOptions `command:"check-routes" description:"Check a configuration of the users' platform before it is sent, and show what differs from the one in force"`
+	Plan    configPlanOptions        `command:"plan" description:"Show what files would change and whom that touches"`
+	Apply   configApplyOptions       `command:"apply" description:"Have files accepted as the fleet's configuration"`
+	History configHistoryOptions     `command:"history" description:"Show the accepted changes, newest first"`
+	Explain configExplainOptions     `command:"explain" description:"Show what is in force for a team and service, and why"`
 }
 
 func configCommand(std streams) subcommand {
 	return subcommand{
 		name:  "config",
 		short: "Check, plan, apply and explain the fleet's configuration",
-		long: "Works on the fleet's configuration: check needs files only; plan, apply, history and explain ask the key-value service. " +
+		long: "Works on the fleet's configuration: check and check-routes need files only; plan, apply, history and explain ask the key-value service. " +
 			"Files and directories of files (.yaml, .yml) may be named; together they are the whole configuration.",
 		data: &configOptions{
 			Check:   configCheckOptions{std: std},
+			Routes:  configCheckRoutesOptions{std: std},
 			Plan:    configPlanOptions{std: std},
 			Apply:   configApplyOptions{std: std},
 			History: configHistoryOptions{std: std},
@@ -104,9 +106,12 @@
 
 // Execute implements flags.Commander.
 func (o *configCheckOptions) Execute([]string) error {
-	config, err := o.Files.load()
+	config, findings, err := fleet.Review(time.Now(), o.Files.Paths...)
 	if err != nil {
-		return err
+		return &usageError{cause: err}
+	}
+	if len(findings) > 0 {
+		return &fleet.ErrInvalid{Problems: findings}
 	}
 	fmt.Fprintf(o.std.out, "fleet %s: %d failure domains, %d services, %d teams, %d exceptions: ok\n",
 		config.Fleet, len(config.FailureDomains), len(config.Services), len(config.Teams), len(config.Exceptions))
@@ -122,9 +127,9 @@
 
 // Execute implements flags.Commander.
 func (o *configPlanOptions) Execute([]string) error {
-	config, err := o.Files.load()
+	config, findings, err := fleet.Review(time.Now(), o.Files.Paths...)
 	if err != nil {
-		return err
+		return &usageError{cause: err}
 	}
 	return o.withStore(o.std, func(ctx context.Context, store configStore) error {
 		state, err := store.State(ctx)
@@ -136,6 +141,7 @@
 			return printJSON(o.std.out, plan)
 		}
 		printPlan(o.std.out, plan)
+		printFindings(o.std.out, findings)
 		if len(plan.Ops) > 0 {
 			fmt.Fprintf(o.std.out, "\nTo apply it: monsoonrail config apply --base %d --reason TEXT %s\n", plan.Base, strings.Join(o.Files.Paths, " "))
 		}
--- a/internal/cmd/config_print.go
+++ b/internal/cmd/config_print.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// printFindings prints what a configuration says in vain; nothing if it says nothing in vain.
+func printFindings(out io.Writer, findings []fleet.Problem) {
+	if len(findings) == 0 {
+		return
+	}
+	fmt.Fprintf(out, "\n%d settings that can never match or contradict others:\n", len(findings))
+	for _, finding := range findings {
+		fmt.Fprintln(out, "    "+finding.String())
+	}
+}
+
 func describeScope(affected fleet.AffectedScope) string {
 	text := fmt.Sprintf("team %s, service %s", affected.Team, affected.Service)
 	if affected.Class != "" {
--- a/internal/cmd/config_test.go
+++ b/internal/cmd/config_test.go
@@ -38,6 +38,13 @@
 	qt.Assert(t, strings.Contains(out, `bad.yaml:2: unknown field "Tems"; allowed: Fleet, FailureDomains`), qt.IsTrue, qt.Commentf("%s", out))
 }
 
+// TestConfigCheckNamesWhatIsSaidInVain checks a valid configuration with entries that can never match.
+func TestConfigCheckNamesWhatIsSaidInVain(t *testing.T) {
+	code, out := runConfig("check", "../fleet/testdata/findings/vain.yaml")
+	qt.Check(t, code, qt.Equals, ExitFailure)
+	qt.Check(t, strings.Contains(out, "vain.yaml:41: Teams[reports]: none of the team's requests is accepted"), qt.IsTrue, qt.Commentf("%s", out))
+}
+
 func TestConfigPlanAndApply(t *testing.T) {
 	service := kvfake.New()
 	server := httptest.NewServer(service)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,10 +17,11 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/boottime"
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/internal/crashes"
-	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/inforce"
+	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/membudget"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
 	"github.com/monsoonrail/monsoonrail/internal/mirror"
@@ -39,17 +40,18 @@
 	"github.com/monsoonrail/monsoonrail/internal/tunnel"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/internal/workshare"
 	"github.com/monsoonrail/monsoonrail/internal/writerelay"
 	"github.com/monsoonrail/monsoonrail/platform"
 )
 
 const (
-	// readHeaderTimeout bounds the time that a caller may take to send a request header; operators set 3 s.
+	// readHeaderTimeout bounds the time that a caller may take to send a request header, where operators set none.
 	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long a connection of a caller may stay idle; operators set 15 s, of which callers use four fifths.
+	// idleTimeout is how long a connection of a caller may stay idle, where operators don't say.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a request header.
-	maxHeaderBytes = 64 << 10
+	// MaxHeaderBytes bounds a request header, where operators don't.
+	MaxHeaderBytes = 64 << 10
 	// memoryLimitShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the
 	// garbage collector runs more often.
 	memoryLimitShare = 0.6
@@ -116,6 +118,9 @@
 	rankedFor  *[]nodelist.Node
 	// addresses holds the answers to callers that ask which nodes to use.
 	addresses addressCache
+	// serverEntries and nodeEntries hold the decoded entries of the store; only applyChanges uses them.
+	serverEntries entries[backend.Server]
+	nodeEntries   entries[nodelist.Node]
 	// nodePeak is the largest number of nodes in the last seconds.
 	nodePeak nodelist.Peak
 	writes   writes
@@ -123,6 +128,9 @@
 	reports selfreport.Outbox
 	// relayedReports holds the reports for the nodes through which they came.
 	relayedReports chan relayedReport
+	// work tells other nodes what this one has under way at servers, and the other way round.
+	work   *workshare.Exchange
+	guards guards
 	// isStopping is set once the shutdown has begun.
 	isStopping atomic.Bool
 }
@@ -139,9 +147,10 @@
 
 // New returns a node; it makes no calls and opens no listeners until Run is called.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain}), collectors: make(map[route.Service][]nodelist.Node), relayedReports: make(chan relayedReport, maxRelayedReports)}
+	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Regions: opts.Settings.Regions}), collectors: make(map[route.Service][]nodelist.Node), relayedReports: make(chan relayedReport, maxRelayedReports)}
 	n.crashes = crashes.NewTracker(crashes.Options{ProbeDelay: n.probeDelay, RewriteDelay: n.rewriteDelay})
 	n.settings.Store(&opts.Settings)
+	n.guards = guards{listeners: make(map[string]*connguard.Listener), closed: make(map[string]map[connguard.Cause]int)}
 	n.nodes.Store(&[]nodelist.Node{})
 	n.transport = tcp.NewTransport(opts.Network)
 	store := platform.NewStore(opts.Settings.Store.Address, n.transport)
@@ -174,13 +183,13 @@
 	n.dialer = tunnel.NewDialer(tunnel.DialerOptions{
 		Network: opts.Network, Paths: paths, Log: opts.Log, CountTunnel: n.countTunnel,
 		OnSilent: func() { n.pool.DropSilent() },
-		Helpers:  tunnel.NewHelpers(opts.Settings.Node, opts.Settings.FailureDomain, n.nodes.Load),
+		Helpers:  tunnel.NewHelpers(opts.Settings.Node, opts.Settings.FailureDomain, opts.Settings.Regions, n.nodes.Load),
 	})
 	n.tunnels = tunnel.NewHandler(tunnel.HandlerOptions{
 		Network: opts.Network, Paths: paths, TakesRequests: n.takesRequests, IsStopping: n.isStopping.Load,
 	})
 	n.pool = upstream.NewPool(upstream.Options{
-		Network: n.dialer, AnswerID: platform.AnswerID, CountDial: n.countDial, IsUsable: n.dialer.IsUsable, CheckPath: n.dialer.Check,
+		Network: n.dialer, AnswerID: platform.AnswerID, CountDial: n.countDial, IsUsable: n.dialer.IsUsable, MayCarry: n.dialer.MayCarry, CheckPath: n.dialer.Check,
 	})
 	relayed := func(direct *platform.Store) *writerelay.Store {
 		return &writerelay.Store{Direct: direct, Relays: storePaths.Relays, Client: n.peers}
@@ -192,16 +201,15 @@
 		Store: relayed(n.stores.announcement), MinLease: opts.Settings.Store.MinLease, Log: opts.Log,
 		Node: nodelist.Node{
 			ID: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Callers: opts.Settings.Listen.Callers,
-			Peers: opts.Settings.Listen.Peers, CPU: opts.Settings.Resources.CPU, Bandwidth: opts.Settings.Resources.Bandwidth,
+			Peers: opts.Settings.Listen.Peers, CPU: opts.Settings.Resources.CPU, Bandwidth: opts.Settings.Resources.Bandwidth, SharesWork: true,
 		},
 		NodeCount: n.countNodes,
-		Restored:  restored, KeepsMissing: n.mirror.HasRecentOutage,
+		Restored:  restored, KeepsMissing: n.mirror.HasRecentOutage, HasStoreAnswered: n.mirror.HasStoreAnswered,
 		IsListed: func() bool { return n.mirror.Get(nodelist.Prefix+string(opts.Settings.Node)).Version > 0 },
 	}
-	n.answerMemory, n.requestMemory = membudget.New(defaultAnswerMemory), membudget.New(defaultRequestMemory)
+	n.answerMemory, n.requestMemory = membudget.New(defaultAnswerMemory), membudget.New(BodyMemory(opts.Settings.Resources))
 	if limit := opts.Settings.Resources.MemoryBytes; limit > 0 {
 		n.answerMemory = membudget.New(int64(answerMemoryShare * float64(limit)))
-		n.requestMemory = membudget.New(int64(requestMemoryShare * float64(limit)))
 	}
 	n.rollouts = versionrollout.NewTracker(versionrollout.TrackerOptions{
 		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, ExposureSlack: bounds.ExposureSlack, SessionTimeout: bounds.SessionTimeout, NodeCount: n.countNodes, Log: opts.Log,
@@ -218,9 +226,18 @@
 		Reports: &n.reports, RelayReport: n.relayReport,
 		Log: opts.Log, Metrics: n.metrics,
 	})
+	n.work = n.newWorkExchange()
 	return n
 }
 
+// BodyMemory returns the memory in bytes that a node has for the bodies of callers' requests.
+func BodyMemory(resources site.ResourceLimits) int64 {
+	if resources.MemoryBytes <= 0 {
+		return defaultRequestMemory
+	}
+	return int64(requestMemoryShare * float64(resources.MemoryBytes))
+}
+
 // Run serves until ctx ends, and then shuts down gracefully within the grace period.
 func (n *Node) Run(ctx context.Context) error {
 	if limit := n.opts.Settings.Resources.MemoryBytes; limit > 0 {
@@ -244,9 +261,11 @@
 	super.Add(supervisor.Duty{Name: "crash-reports", Run: n.shareCrashReports})
 	super.Add(supervisor.Duty{Name: "server-reports", Run: n.shareReports})
 	super.Add(supervisor.Duty{Name: "relayed-reports", Run: n.tellRelayedReports})
+	super.Add(supervisor.Duty{Name: "work-exchange", Run: n.work.Run})
 	super.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
 		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
 	}})
+	super.Add(supervisor.Duty{Name: "callers-connections", Run: n.sweepConnections})
 	for _, s := range servers {
 		super.Add(supervisor.Duty{Name: s.name, Run: s.run})
 	}
@@ -329,11 +348,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		servers = append(servers, &httpServer{name: s.name, listener: listener, server: &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog:    eventlog.StandardLogger(n.log.WithField("server", s.name), "connection failed"),
-			ConnContext: gateway.ConnContext,
-		}})
+		servers = append(servers, n.guard(s.name, listener, s.handler))
 	}
 	return servers, nil
 }
@@ -341,10 +356,11 @@
 // peerHandler serves the requests of other nodes.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	relay.Handle(mux, n.mirror)
+	relay.Handle(mux, n.mirror, n.countRelayed)
 	rolloutrpc.Handle(mux, n.rollouts)
 	writerelay.Handle(mux, n.stores.relayedWrites)
 	reportrelay.Handle(mux, n.hearRelayedReport)
+	workshare.Handle(mux, n.work)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodConnect {
 			n.tunnels.ServeHTTP(w, req)
@@ -361,7 +377,7 @@
 		return false
 	}
 	verdict := server.Admission(n.countRecentNodes(), time.Now()).Verdict
-	return verdict != selfreport.Leaving && verdict != selfreport.Paused
+	return verdict != selfreport.Leaving && verdict != selfreport.Paused && !n.backends.IsEvacuated(server.FailureDomain)
 }
 
 // countStoreRead counts a read of the store's contents.
@@ -373,6 +389,13 @@
 	n.metrics.Counter("monsoonrail_edge_store_reads", metric.Label{Name: "path", Value: path}, metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
 }
 
+// countRelayed counts an answer to a node that reads the store through this one.
+func (n *Node) countRelayed(what relay.Served, bytes int) {
+	label := metric.Label{Name: "what", Value: string(what)}
+	n.metrics.Counter("monsoonrail_edge_store_relayed", label).Inc(1)
+	n.metrics.Counter("monsoonrail_edge_store_relayed_bytes", label).Inc(int64(bytes))
+}
+
 // countDial counts a connection to a server by the outcome of opening it.
 func (n *Node) countDial(outcome tcp.DialOutcome) {
 	n.metrics.Counter("monsoonrail_edge_server_dials", metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
@@ -398,8 +421,12 @@
 		n.metrics.Gauge("monsoonrail_edge_running_requests").Update(n.gateway.InFlight())
 		n.metrics.Gauge("monsoonrail_edge_answer_memory_bytes").Update(n.answerMemory.Used())
 		n.metrics.Gauge("monsoonrail_edge_request_memory_bytes").Update(n.requestMemory.Used())
+		n.gaugeConnections()
 		n.metrics.Gauge("monsoonrail_edge_tunnels_for_others").Update(int64(n.tunnels.Open()))
 		n.metrics.Gauge("monsoonrail_edge_servers").Update(int64(n.backends.Len()))
+		n.metrics.Gauge("monsoonrail_edge_evacuated_domains").Update(int64(n.countEvacuations()))
+		n.metrics.Gauge("monsoonrail_edge_cold_servers").Update(int64(n.backends.CountCold(time.Now())))
+		n.updateWorkGauges(time.Now())
 		n.metrics.Gauge("monsoonrail_edge_nodes").Update(int64(n.countNodes()))
 		n.metrics.Gauge("monsoonrail_edge_configuration_age_milliseconds").Update(n.activeConfig.ConfirmationAge().Milliseconds())
 		if table := n.activeConfig.Current(); table != nil {
@@ -417,11 +444,13 @@
 
 // applyChanges applies the changed keys of the store.
 func (n *Node) applyChanges(keys []string) {
-	var servers, nodes, reports bool
+	var servers, nodes, reports, evacuations bool
 	for _, key := range keys {
 		switch {
 		case key == platform.KeyConfig:
-			n.activeConfig.Apply(n.mirror.Get(key))
+			n.applyConfig(n.mirror.Get(key))
+		case strings.HasPrefix(key, platform.PrefixEvacuations):
+			evacuations = true
 		case strings.HasPrefix(key, platform.PrefixServers):
 			servers = true
 		case strings.HasPrefix(key, nodelist.Prefix):
@@ -434,6 +463,9 @@
 			n.loadRolloutKey(key)
 		}
 	}
+	if evacuations {
+		n.loadEvacuations(time.Now())
+	}
 	if servers {
 		n.loadServers()
 	}
@@ -447,30 +479,23 @@
 
 // loadServers replaces the backend servers by those in the store; invalid entries are skipped.
 func (n *Node) loadServers() {
-	var servers []backend.Server
-	for _, pair := range n.mirror.List(platform.PrefixServers) {
-		server, err := platform.DecodeServer(pair)
-		if err != nil {
-			n.log.WithError(err).Warn("ignored invalid server entry")
-			continue
-		}
-		servers = append(servers, server)
-	}
+	servers := n.serverEntries.decode(n.mirror.List(platform.PrefixServers), platform.DecodeServer, func(pair kv.Pair, err error) {
+		n.log.WithError(err).Warn("ignored invalid server entry")
+	})
 	for _, address := range n.backends.Replace(servers) {
 		n.pool.CloseIdle(address)
 	}
+	n.setWorkServers(servers)
 	n.log.WithField("servers", len(servers)).Info("servers changed")
 }
 
 // loadNodes replaces the list of nodes by the one in the store; invalid entries are skipped.
 func (n *Node) loadNodes() {
 	var nodes []nodelist.Node
-	for _, pair := range n.mirror.List(nodelist.Prefix) {
-		node, err := nodelist.Decode(pair)
-		if err != nil {
-			n.log.WithField("key", pair.Key).WithError(err).Warn("ignored invalid node entry")
-			continue
-		}
+	listed := n.nodeEntries.decode(n.mirror.List(nodelist.Prefix), nodelist.Decode, func(pair kv.Pair, err error) {
+		n.log.WithField("key", pair.Key).WithError(err).Warn("ignored invalid node entry")
+	})
+	for _, node := range listed {
 		if !node.IsLeaving {
 			nodes = append(nodes, node)
 		}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -25,6 +25,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
 	"github.com/monsoonrail/monsoonrail/internal/fake/platformfake"
 	"github.com/monsoonrail/monsoonrail/internal/framing"
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/site"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -201,7 +202,8 @@
 	running := edge.New(edge.Options{
 		Settings: site.Settings{
 			Node: api.NodeID("node-" + ip), FailureDomain: domain,
-			Listen: site.Listen{Callers: ip + ":80", Readiness: ip + ":81", Addresses: ip + ":82", Peers: ip + ":83", Metrics: ip + ":84"},
+			Regions: region.Map{"z1": "north", "z2": "south", "z3": "east"},
+			Listen:  site.Listen{Callers: ip + ":80", Readiness: ip + ":81", Addresses: ip + ":82", Peers: ip + ":83", Metrics: ip + ":84"},
 			Bounds: site.Bounds{
 				MaxDrainDelay: 2 * time.Second, GracePeriod: 8 * time.Second, MaxApplyDelay: 2 * time.Second, MaxRevocationDelay: 5 * time.Second,
 				RetryRatio: 0.9, RetrySlack: 56, RetryWindow: 10 * time.Second, SessionTimeout: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 
 	"github.com/apex/log"
 
@@ -34,6 +35,6 @@
 	}
 	old := n.settings.Swap(&reload.Settings)
 	n.log.WithFields(log.Fields{
-		"changed": *old != reload.Settings, "listeners_changed": old.Listen != reload.Settings.Listen,
+		"changed": !reflect.DeepEqual(*old, reload.Settings), "listeners_changed": old.Listen != reload.Settings.Listen,
 	}).Info("settings reloaded")
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 )
 
 // File is a configuration file with its content.
@@ -17,6 +18,30 @@
 // Load reads, merges and validates the configuration in files and directories; of a directory it reads the .yaml and
 // .yml files, without subdirectories. The result has revision 0.
 func Load(paths ...string) (*Config, error) {
+	files, err := readFiles(paths)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(files...)
+}
+
+// Review is like Load, and also returns what a valid configuration says in vain as of now: entries that can never match, and settings that contradict each
+// other.
+func Review(now time.Time, paths ...string) (*Config, []Problem, error) {
+	files, err := readFiles(paths)
+	if err != nil {
+		return nil, nil, err
+	}
+	dec := &decoder{positions: make(map[string]Position)}
+	config, err := dec.decode(files)
+	if err != nil {
+		return nil, nil, err
+	}
+	return config, dec.locate(config.findings(now)), nil
+}
+
+// readFiles reads the configuration files at paths.
+func readFiles(paths []string) ([]File, error) {
 	var names []string
 	for _, path := range paths {
 		found, err := filesOf(path)
@@ -36,7 +61,7 @@
 		}
 		files = append(files, File{Name: name, Data: data})
 	}
-	return Decode(files...)
+	return files, nil
 }
 
 // filesOf returns the path itself, or the configuration files of a directory.
@@ -65,24 +90,31 @@
 // Decode merges and validates files. A single-valued section (Fleet, FailureDomains, Defaults) may appear in only one
 // file; Services, Teams and Exceptions may be split over several.
 func Decode(files ...File) (*Config, error) {
-	dec := &decoder{positions: make(map[string]Position)}
+	return (&decoder{positions: make(map[string]Position)}).decode(files)
+}
+
+func (d *decoder) decode(files []File) (*Config, error) {
 	config := new(Config)
 	for _, file := range files {
-		dec.file = file.Name
-		dec.decodeFile(file.Data, config)
+		d.file = file.Name
+		d.decodeFile(file.Data, config)
 	}
-	if len(dec.problems) > 0 {
-		return nil, Error.Wrap(&ErrInvalid{Problems: dec.problems})
+	if len(d.problems) > 0 {
+		return nil, Error.Wrap(&ErrInvalid{Problems: d.problems})
 	}
 	config.Sort()
-	problems := config.problems()
-	if len(problems) == 0 {
-		return config, nil
+	if problems := config.problems(); len(problems) > 0 {
+		return nil, Error.Wrap(&ErrInvalid{Problems: d.locate(problems)})
 	}
+	return config, nil
+}
+
+// locate sets the positions of problems.
+func (d *decoder) locate(problems []Problem) []Problem {
 	for i := range problems {
-		problems[i].Position = dec.positionOf(problems[i].Path)
+		problems[i].Position = d.positionOf(problems[i].Path)
 	}
-	return nil, Error.Wrap(&ErrInvalid{Problems: problems})
+	return problems
 }
 
 // Sort sorts the lists whose order has no meaning by name, exceptions by id.
--- a/internal/fleet/load_test.go
+++ b/internal/fleet/load_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -88,3 +89,20 @@
 		qt.Assert(t, bytes.Equal(again.Encode(), config.Encode()), qt.IsTrue)
 	})
 }
+
+// TestFindings compares what is found in a valid configuration with a golden file, and finds nothing in the examples.
+func TestFindings(t *testing.T) {
+	now := time.Date(2026, time.December, 1, 0, 0, 0, 0, time.UTC)
+	_, findings, err := Review(now, "testdata/findings/vain.yaml")
+	qt.Assert(t, err, qt.IsNil)
+	var text strings.Builder
+	for _, finding := range findings {
+		text.WriteString(finding.String() + "\n")
+	}
+	compareGolden(t, "testdata/findings/vain.golden", []byte(text.String()))
+	for _, name := range []string{"sample.yaml", "commons", "carrasco"} {
+		_, findings, err := Review(now, filepath.Join(examples, name))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, findings, qt.HasLen, 0, qt.Commentf(name))
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,6 +17,12 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// CallerConn returns the connection of a request to a server with that ConnContext; nil for others.
+func CallerConn(req *http.Request) net.Conn {
+	conn, _ := req.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // lingerer is a connection that can be reset by its Close, such as a net.TCPConn.
 type lingerer interface {
 	SetLinger(seconds int) error
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -56,6 +56,12 @@
 
 // observeFirstEvent records the time to the first event of a stream, unless watchFirstEvent has already counted it as slow.
 func (d *dispatcher) observeFirstEvent(server *backend.TrackedServer, took time.Duration) {
+	if d.service.Engine != nil {
+		d.firstEventAt = time.Now()
+		expected := d.g.reading.FirstEvent(d.service, d.askedModel(), d.unreadTokens) + time.Duration(d.ahead)
+		server.ObserveTime(took, expected, d.firstEventAt)
+		d.g.reading.Observe(d.service, d.askedModel(), d.unreadTokens, d.ahead, took)
+	}
 	if d.route.Kind != route.KindStream || d.isFillAttempt || d.isFirstEventSlow.Load() {
 		return
 	}
@@ -64,13 +70,24 @@
 	})
 }
 
+// observeEvents records how long the events of a stream that has ended took after the first one.
+func (d *dispatcher) observeEvents(server *backend.TrackedServer, events int) {
+	if d.service.Engine == nil || d.firstEventAt.IsZero() {
+		return
+	}
+	now := time.Now()
+	took := now.Sub(d.firstEventAt)
+	expected := d.g.writing.Observe(d.service.Name, d.askedModel(), events-1, took)
+	server.ObserveTime(took, expected, now)
+}
+
 // watchFirstEvent starts a timer that counts the first event of a stream, or the answer to a call, as slow as soon as it is overdue. Without the
 // timer, answers that are several times slower than usual would be counted last. The returned function stops the timer.
 func (d *dispatcher) watchFirstEvent(server *backend.TrackedServer) (end func()) {
 	// A new flag for each attempt, so that the timer of an earlier attempt can't set it.
 	isFirstSlow := new(atomic.Bool)
 	d.isFirstEventSlow = isFirstSlow
-	d.isAnswerSlow = false
+	d.isAnswerSlow, d.firstEventAt = false, time.Time{}
 	d.slowPace = d.g.opts.Versions.SlowPace(d.service.Name, d.evidenceKey())
 	key, limit := d.evidenceKey(), d.slowPace
 	if d.route.Kind == route.KindStream {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,9 +16,11 @@
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/membudget"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/retrybudget"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
+	"github.com/monsoonrail/monsoonrail/internal/serverpace"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -28,8 +31,8 @@
 	defaultMaxBody = 4 << 20
 	// defaultDeadline is the timeout of a request when neither the caller nor the route sets one.
 	defaultDeadline = 30 * time.Second
-	// initialConfigTimeout is how long a request waits for the first configuration after the node has started.
-	initialConfigTimeout = 250 * time.Millisecond
+	// initialConfigTimeout is how long a request waits for the first confirmed configuration after the node has started.
+	initialConfigTimeout = 500 * time.Millisecond
 	// writeMargin is how long after the request's deadline an answer may still be written to a caller that reads slowly.
 	writeMargin = time.Second
 )
@@ -38,8 +41,8 @@
 type Configs interface {
 	// Current returns the configuration in force, or nil before the first one is loaded.
 	Current() *route.Table
-	// Loaded returns a channel that is closed once the first configuration is loaded.
-	Loaded() <-chan struct{}
+	// Confirmed returns a channel that is closed once a configuration has been loaded and confirmed as current for the first time.
+	Confirmed() <-chan struct{}
 	// MayUseKeys reports whether the configuration was confirmed recently enough that a revoked key can't be accepted for too long.
 	MayUseKeys() bool
 	// IsFresh reports whether the configuration was confirmed recently enough to reject an unknown route or key permanently (with a 4xx
@@ -108,6 +111,9 @@
 	stopping atomic.Pointer[stopDeadlines]
 
 	prompts promptSizes
+	// reading is how long servers take to read prompts, writing how long for the events of answers.
+	reading serverpace.Reading
+	writing serverpace.Writing
 
 	// running counts the requests in flight.
 	running atomic.Int64
@@ -148,6 +154,10 @@
 	table := g.waitForTable(req.Context())
 	memory := g.opts.RequestMemory.Reserve(req.RemoteAddr)
 	defer memory.Release()
+	if req.ContentLength != 0 {
+		// Nobody waits for the answer any more when a body comes later than that. The server of net/http lifts the deadline at the body's end.
+		_ = http.NewResponseController(w).SetReadDeadline(arrived.Add(bodyTimeout(info, req, table)))
+	}
 	body, err := readBody(w, req, table, memory)
 	if err != nil {
 		g.rejectUnread(w, info, err)
@@ -165,22 +175,22 @@
 		// can't retry it.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, admitted.deadline)
+	ctx, cancel := context.WithDeadline(region.NewContext(ctx, admitted.regions()), admitted.deadline)
 	defer cancel()
 	newDispatcher(g, admitted, newCallerAnswer(w, req)).serve(ctx)
 }
 
-// waitForTable returns the configuration in force. A node that has just started waits for it up to initialConfigTimeout, which takes
-// less time than a caller's retry at another node; the result may still be nil.
+// waitForTable returns the configuration in force. A node that has just started waits for it, and for the read that confirms its keys, up to
+// initialConfigTimeout, which takes less time than a caller's retry at another node; the result may still be nil.
 func (g *Gateway) waitForTable(ctx context.Context) *route.Table {
-	if table := g.opts.Configs.Current(); table != nil {
+	if table := g.opts.Configs.Current(); table != nil && g.opts.Configs.MayUseKeys() {
 		return table
 	}
 	ctx, cancel := context.WithTimeout(ctx, initialConfigTimeout)
 	defer cancel()
 	select {
 	case <-ctx.Done():
-	case <-g.opts.Configs.Loaded():
+	case <-g.opts.Configs.Confirmed():
 	}
 	return g.opts.Configs.Current()
 }
@@ -204,6 +214,11 @@
 		g.reject(w, info, nil, retryLater(reasonNoMemory))
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.Header().Set("Connection", "close")
+		g.reject(w, info, nil, &rejection{status: http.StatusRequestTimeout, reason: reasonBodyTooSlow})
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if !errors.As(err, &tooLarge) {
 		g.opts.Log.WithFields(log.Fields{"request": string(info.ID)}).WithError(err).Info("caller left before its request was read")
@@ -259,6 +274,16 @@
 	return admitted, nil
 }
 
+// bodyTimeout returns the time that a request may take from what is known of it before its body is read.
+func bodyTimeout(info RequestInfo, req *http.Request, table *route.Table) time.Duration {
+	if table != nil {
+		if r := table.FindRoute(req.Host, req.URL.Path); r != nil {
+			return requestTimeout(info, r)
+		}
+	}
+	return min(requestTimeout(info, new(route.Route)), defaultDeadline)
+}
+
 // requestTimeout returns the time that a request may take: the caller's or the route's timeout, whichever is shorter.
 func requestTimeout(info RequestInfo, r *route.Route) time.Duration {
 	allowed := time.Duration(defaultDeadline)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	metricAnswerEnds   = "monsoonrail_gateway_answer_ends"
 	metricEscalations  = "monsoonrail_gateway_escalations"
 	metricReports      = "monsoonrail_gateway_server_reports"
+	metricAhead        = "monsoonrail_gateway_work_ahead"
+	metricSlowness     = "monsoonrail_gateway_server_slowness_percent"
 )
 
 // Values of the outcome label of metricAttempts.
@@ -66,6 +68,13 @@
 		metric.Label{Name: "service", Value: string(d.service.Name)}, metric.Label{Name: "verdict", Value: verdict.String()}).Inc(1)
 }
 
+// countPlacement observes what was known of the server that was chosen.
+func (d *dispatcher) countPlacement() {
+	byService := metric.Label{Name: "service", Value: string(d.service.Name)}
+	d.g.opts.Metrics.ObserveDuration(metricAhead, time.Duration(d.ahead), byService)
+	d.g.opts.Metrics.Histogram(metricSlowness, byService).Update(int64(100 * d.slowness))
+}
+
 // countFirstEvent observes the time from a request's arrival to the first event sent to the caller.
 func (d *dispatcher) countFirstEvent() {
 	d.g.opts.Metrics.ObserveDuration(metricFirstEvent, time.Since(d.arrived), metric.Label{Name: "route", Value: string(d.route.Name)})
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
+	"github.com/monsoonrail/monsoonrail/internal/workload"
 )
 
 // attempt sends the request to a server and forwards the answer to the caller.
@@ -29,7 +30,7 @@
 	defer headTimer.Stop()
 	endWatch := d.watchFirstEvent(server)
 	defer endWatch()
-	load := newAttemptLoad(server, d.PromptTokens)
+	load := newAttemptLoad(server, d.unread)
 	defer load.end()
 	endAttempt := d.g.opts.Versions.BeginAttempt(d.service.Name, server.Version)
 	defer func() { endAttempt(d.isAnswered) }()
@@ -184,18 +185,18 @@
 // attemptLoad counts an attempt in its server's load from newAttemptLoad until end.
 type attemptLoad struct {
 	server *backend.TrackedServer
-	// tokens is the number of prompt tokens that the server has yet to read.
-	tokens int
+	// unread is the work that the server has yet to do before the first event.
+	unread workload.Work
 }
 
-func newAttemptLoad(server *backend.TrackedServer, tokens int) *attemptLoad {
-	server.Begin(tokens)
-	return &attemptLoad{server: server, tokens: tokens}
+func newAttemptLoad(server *backend.TrackedServer, unread workload.Work) *attemptLoad {
+	server.Begin(unread)
+	return &attemptLoad{server: server, unread: unread}
 }
 
 func (l *attemptLoad) firstByte() {
-	l.server.FirstByte(l.tokens)
-	l.tokens = 0
+	l.server.FirstByte(l.unread)
+	l.unread = 0
 }
 
-func (l *attemptLoad) end() { l.server.End(l.tokens) }
+func (l *attemptLoad) end() { l.server.End(l.unread) }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -9,15 +9,26 @@
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/placement"
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
+	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
+	"github.com/monsoonrail/monsoonrail/internal/workload"
 )
 
 const (
 	// bytesPerToken is the approximate size of a generated token on the wire.
 	bytesPerToken = 10
-	// tokensPerSlot is the number of prompt tokens that delay other requests as much as one more running request does. Engines read
-	// prompts in chunks between the decoding steps of other requests.
+	// tokensPerSlot is the number of prompt tokens of a model of usual price that delay other requests as much as one more running request
+	// does. Engines read prompts in chunks between the decoding steps of other requests.
 	tokensPerSlot = 1500
+	// tokensPerKnownSlot is that number where the nodes tell each other which prompts the servers have yet to read: what remains is that a server
+	// makes the tokens of more requests at a time.
+	tokensPerKnownSlot = 200
+	// tokensPerKilobyte is the number of such tokens that are read rather than a kilobyte sent to another failure domain, and plainWorkPerKilobyte
+	// the same for services without models.
+	tokensPerKilobyte    = 80
+	plainWorkPerKilobyte = plainWork * 16 / 100
+	// plainWork is the work of a request to a service without models.
+	plainWork = workload.Work(50 * time.Millisecond)
 )
 
 // chooseServer returns the server for the next attempt, or nil and the rejection if there is none. It also sets the version choice of the
@@ -32,10 +43,20 @@
 		key = string(d.ID)
 	}
 	eligible := d.eligibleServers(pool, backend.Selection{Key: key, Seed: string(d.ID)}, nodes, now)
+	if len(eligible) == 0 && d.versionChoice.UseTarget && !d.versionChoice.IsStrict {
+		// All servers of the version are cold or limited: the request is better off at another version than rejected.
+		d.versionChoice.UseTarget, d.versionChoice.FillShare = false, 0
+		pool = d.versionPool()
+		eligible = d.eligibleServers(pool, backend.Selection{Key: key, Seed: string(d.ID)}, nodes, now)
+	}
 	if len(eligible) == 0 {
 		return nil, d.noServer(pool.Present(), nodes, now)
 	}
-	candidates := make([]placement.Candidate, len(eligible))
+	candidates, unreadTokens := make([]placement.Candidate, len(eligible)), make([]int, len(eligible))
+	tokenWork := 0.0
+	if d.service.Engine != nil {
+		tokenWork = d.g.reading.TokenWork(d.service, d.askedModel())
+	}
 	parts := d.promptPartKeys()
 	for i, m := range eligible {
 		candidates[i] = d.placementCandidate(m, now)
@@ -44,18 +65,26 @@
 			// All nodes send requests that share these parts to the first server by rank, so it has probably cached them.
 			cached = len(parts)
 		}
+		unreadTokens[i] = d.PromptTokens
 		for _, part := range d.Parts[:cached] {
-			candidates[i].CachedTokens += part.Tokens
+			unreadTokens[i] -= part.Tokens
 		}
+		unreadTokens[i] = max(0, unreadTokens[i])
+		candidates[i].Unread = workload.Work(tokenWork * float64(unreadTokens[i]))
+	}
+	request := placement.Request{
+		Bytes: len(d.body) + bytesPerToken*d.expectedAnswerTokens(), PerRequest: plainWork, PerKilobyte: plainWorkPerKilobyte, Seed: xxhash.Sum64String(string(d.ID)) + uint64(d.attempts),
 	}
-	request := placement.Request{PromptTokens: d.PromptTokens, Bytes: len(d.body) + bytesPerToken*d.expectedAnswerTokens()}
 	if d.service.Engine != nil {
-		request.TokensPerSlot = tokensPerSlot
+		request.PerRequest, request.PerKilobyte = d.g.reading.UsualWork(d.service, tokensPerSlot), d.g.reading.UsualWork(d.service, tokensPerKilobyte)
 	}
 	load := d.g.opts.Backends.Load(d.service.Name)
-	mean := placement.MeanPeerInFlight(candidates)
-	if pool.IsSampled() {
-		mean = load.MeanPeerInFlight(now)
+	means := placement.MeansOf(candidates)
+	if d.service.Engine != nil && means.HasPeers {
+		request.PerRequest = d.g.reading.UsualWork(d.service, tokensPerKnownSlot)
+	}
+	if pool.IsSampled() && !means.HasPeers {
+		means.InFlight = load.MeanPeerInFlight(now)
 	}
 	if d.model != "" {
 		d.utilization = placement.Utilization(candidates)
@@ -63,19 +92,38 @@
 			d.utilization = load.Utilization(pool, now)
 		}
 	}
-	chosen := eligible[placement.ChooseWithMean(request, candidates, mean)]
+	index := placement.ChooseWithMeans(request, candidates, means)
+	chosen := eligible[index]
 	if chosen.Take(nodes, now).Verdict != selfreport.Admitted {
 		// Another request has taken the server's last admission since.
 		return d.chooseServer()
 	}
 	chosen.RecordPromptParts(parts, now)
+	d.unreadTokens, d.unread, d.ahead = unreadTokens[index], candidates[index].Unread, placement.EstimateUnread(candidates[index], means.Unread)
+	d.slowness = candidates[index].View.Slowness
+	d.countPlacement()
 	return chosen, nil
 }
 
+// askedModel returns the model that is to answer: the node's choice or the caller's.
+func (d *dispatcher) askedModel() route.Model {
+	if d.model != "" {
+		return d.model
+	}
+	return d.Model
+}
+
 // noServer returns the rejection of a request that none of the servers takes now. The caller may retry when the first one does, or later, so
 // that rejected callers don't return at the same time.
 func (d *dispatcher) noServer(servers []*backend.TrackedServer, nodes int, now time.Time) *rejection {
 	rejected := retryLater(reasonNoServer)
+	switch {
+	case len(servers) > 0:
+	case d.g.opts.Backends.HasEvacuated(d.service.Name):
+		rejected.reason = reasonEvacuated
+	case d.regions().IsRestricted():
+		rejected.reason = reasonRegions
+	}
 	var first time.Time
 	for _, m := range servers {
 		if until := m.Admission(nodes, now).Until; !until.IsZero() && (first.IsZero() || until.Before(first)) {
@@ -102,8 +150,13 @@
 
 // placementCandidate converts a server's state to the input of package placement.
 func (d *dispatcher) placementCandidate(m *backend.TrackedServer, now time.Time) placement.Candidate {
+	view := m.View(now)
+	if d.service.Engine == nil {
+		// These requests have ended before other nodes hear of them, and all nodes would choose the same few servers.
+		view.Peers.At = time.Time{}
+	}
 	return placement.Candidate{
-		View: m.View(now), Slots: m.Slots, IsSameDomain: m.FailureDomain == d.g.opts.FailureDomain, IsTried: slices.Contains(d.triedServers, m.ID),
+		View: view, Slots: m.Slots, IsSameDomain: m.FailureDomain == d.g.opts.FailureDomain, IsTried: slices.Contains(d.triedServers, m.ID),
 	}
 }
 
@@ -128,11 +181,11 @@
 // that takes no requests for some time doesn't count as missing: the other version may be faulty.
 func (d *dispatcher) versionPool() *backend.Pool {
 	if d.versionChoice.Target == "" {
-		return d.g.opts.Backends.Pool(d.service.Name)
+		return d.g.opts.Backends.PoolWithin(d.service.Name, d.regions())
 	}
-	pool := d.g.opts.Backends.PoolOf(d.service.Name, d.versionChoice.Target, !d.versionChoice.UseTarget)
+	pool := d.g.opts.Backends.PoolOfWithin(d.service.Name, d.versionChoice.Target, !d.versionChoice.UseTarget, d.regions())
 	if !d.versionChoice.IsStrict && !pool.HasPresent() {
-		return d.g.opts.Backends.Pool(d.service.Name)
+		return d.g.opts.Backends.PoolWithin(d.service.Name, d.regions())
 	}
 	return pool
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -11,6 +11,7 @@
 // Reasons of rejections, used in log fields and metric labels.
 const (
 	reasonTooLarge           = "body too large"
+	reasonBodyTooSlow        = "body too slow"
 	reasonNoMemory           = "no memory for the body"
 	reasonNoID               = "no request id"
 	reasonNoRoute            = "no route"
@@ -21,6 +22,8 @@
 	reasonStaleKeys          = "keys may be old"
 	reasonStopping           = "node stops"
 	reasonNoServer           = "no server"
+	reasonEvacuated          = "failure domains evacuated"
+	reasonRegions            = "no server in an allowed region"
 	reasonBudget             = "retry budget used up"
 	reasonAttempts           = "attempts used up"
 	reasonDeadline           = "deadline passed"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -75,6 +75,7 @@
 ) attemptResult {
 	d.sendHead(answer)
 	server.RecordSuccess()
+	d.observeEvents(server, d.eventsSent-eventsBefore)
 	if !d.isAnswerSlow {
 		d.observe(server, versionrollout.Outcome{Pace: d.pace(startedAt, eventsBefore)})
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/upstream"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
+	"github.com/monsoonrail/monsoonrail/internal/workload"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -62,6 +64,14 @@
 	isAnswerSlow     bool
 	// slowPace is the pace above which the current attempt's answer counts as slow; 0 if it isn't known yet.
 	slowPace float64
+	// unreadTokens is the number of prompt tokens that the server of the current attempt has probably not cached, unread the work to read them, and
+	// ahead the other work before the attempt's first event that was known when the server was chosen.
+	unreadTokens  int
+	unread, ahead workload.Work
+	// slowness is that of the server of the current attempt when it was chosen.
+	slowness float64
+	// firstEventAt is when the answer of the current attempt began; zero before.
+	firstEventAt time.Time
 	// isFillAttempt is set if the server was chosen to observe the candidate version under load.
 	isFillAttempt bool
 	// serverLoad is the part of its slots that the server reported to run with its answer; valid if hasServerLoad.
@@ -292,6 +302,7 @@
 	d.g.opts.Log.WithFields(log.Fields{
 		"request": string(d.ID), "route": string(d.route.Name), "team": string(d.teamName()), "reason": reason,
 		"sends": d.attempts, "runs": d.possibleRuns, "events": d.eventsSent, "model": string(d.model), "configuration": int64(d.revision),
-		"took": time.Since(d.arrived).Round(time.Millisecond).String(),
+		"took": time.Since(d.arrived).Round(time.Millisecond).String(), "unread": time.Duration(d.unread).Round(time.Millisecond).String(),
+		"ahead": time.Duration(d.ahead).Round(time.Millisecond).String(), "slowness": math.Round(100*d.slowness) / 100,
 	}).Info(message)
 }
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -32,7 +32,7 @@
 	target := placement.FillTarget(slots, d.versionChoice.FillShare, d.g.opts.NodeCount(), string(d.g.opts.Node))
 	candidate := d.placementCandidate(ranked[target], now)
 	startsSoon := d.PromptTokens <= maxPromptPerAnswerToken*d.expectedAnswerTokens() ||
-		candidate.View.PendingPromptTokens == 0 && candidate.View.Load.Waiting < maxFillWaiting
+		candidate.View.Unread == 0 && candidate.View.Load.Waiting < maxFillWaiting
 	if startsSoon && placement.HasFillRoom(candidate, d.versionChoice.FillShare, d.g.opts.NodeCount()) {
 		d.isFillAttempt = true
 		return ranked[target : target+1]
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 )
 
@@ -35,6 +36,14 @@
 	return w.route.Priority
 }
 
+// regions returns the regions in which servers may run the request: those of the route that are also allowed to the team.
+func (w *admittedRequest) regions() region.Set {
+	if w.team == nil {
+		return w.route.Regions
+	}
+	return w.route.Regions.Intersect(w.team.Regions)
+}
+
 // teamName returns the name of the team; empty if the route needs no key.
 func (w *admittedRequest) teamName() route.Team {
 	if w.team == nil {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -44,8 +44,8 @@
 
 	// table is nil until the first configuration is loaded.
 	table atomic.Pointer[route.Table]
-	// loaded is closed once table is set.
-	loaded chan struct{}
+	// confirmed is closed once table is set and a read has confirmed it.
+	confirmed chan struct{}
 	// confirmedAt is the boottime.Time at which the newest confirming read was sent; 0 before the first.
 	confirmedAt atomic.Int64
 
@@ -60,7 +60,7 @@
 	if opts.Now == nil {
 		opts.Now = boottime.Now
 	}
-	return &ActiveConfig{opts: opts, loaded: make(chan struct{})}
+	return &ActiveConfig{opts: opts, confirmed: make(chan struct{})}
 }
 
 // ConfirmCurrent records that no configuration newer than the one in force had been accepted by the given time. It has no effect while
@@ -70,6 +70,19 @@
 	defer c.mu.Unlock()
 	if c.rejectedVersion == 0 && int64(at) > c.confirmedAt.Load() {
 		c.confirmedAt.Store(int64(at))
+		c.closeConfirmed()
+	}
+}
+
+// closeConfirmed closes confirmed once its conditions hold; c.mu is held.
+func (c *ActiveConfig) closeConfirmed() {
+	if c.table.Load() == nil || c.confirmedAt.Load() == 0 {
+		return
+	}
+	select {
+	case <-c.confirmed:
+	default:
+		close(c.confirmed)
 	}
 }
 
@@ -99,9 +112,7 @@
 		return true
 	}
 	c.table.Store(route.NewTable(cfg))
-	if old == nil {
-		close(c.loaded)
-	}
+	c.closeConfirmed()
 	c.opts.Log.WithFields(log.Fields{
 		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
 		"bytes": len(pair.Value),
@@ -112,8 +123,8 @@
 // Current returns the configuration in force, or nil before the first one is loaded.
 func (c *ActiveConfig) Current() *route.Table { return c.table.Load() }
 
-// Loaded returns a channel that is closed once the first configuration is loaded.
-func (c *ActiveConfig) Loaded() <-chan struct{} { return c.loaded }
+// Confirmed returns a channel that is closed once a configuration has been loaded and confirmed as current for the first time.
+func (c *ActiveConfig) Confirmed() <-chan struct{} { return c.confirmed }
 
 // ConfirmationAge returns the time since the newest read that confirmed the configuration was sent; the maximum duration if there was
 // none.
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -37,7 +37,13 @@
 		qt.Assert(t, active.Apply(kv.Pair{Version: version}), qt.IsTrue)
 	}
 	qt.Assert(t, active.Current().Config.Revision, qt.Equals, route.Revision(9))
-	<-active.Loaded()
+	select {
+	case <-active.Confirmed():
+		t.Fatal("confirmed by a value alone")
+	default:
+	}
+	active.ConfirmCurrent(now)
+	<-active.Confirmed()
 }
 
 // TestKeysNeedRecentConfirmation checks up to which age of the confirmation keys are trusted and the configuration is fresh.
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -133,6 +133,9 @@
 	// SinceOutage is how long ago the relaying node found the service back after an outage; 0 if it doesn't know of a recent one, or unless a
 	// peer relays the batch.
 	SinceOutage time.Duration
+	// KeyHashes, if not nil, holds the hashes by HashKey of all keys that exist at Revision: the other keys that the reader has were deleted. Only a
+	// peer that no longer retains the deletions sends them.
+	KeyHashes []uint64
 }
 
 // Lease is a lease as returned by Grant or KeepAlive.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,6 +33,9 @@
 	maxHistory = 2048
 	// retryDelay is the delay after a failed call; a store that rejects calls gets one call from every node in this time.
 	retryDelay = 150 * time.Millisecond
+	// maxStartRetryDelay bounds the delay of a node that has no copy yet. It grows by retryDelay with each failure: such a node knows no other one
+	// through which it could read, and all nodes may be in this state.
+	maxStartRetryDelay = 4 * retryDelay
 	// outageThreshold is the time without an answer, beyond pollWait, after which the store counts as having been unreachable.
 	outageThreshold = time.Second
 	// restoreGracePeriod is how long after an outage expired entries are kept, so that servers can write them again.
@@ -132,6 +135,7 @@
 
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
+	startDelay := time.Duration(0)
 	for ctx.Err() == nil {
 		begin := time.Now()
 		isChange, err := m.update(ctx)
@@ -144,12 +148,24 @@
 		}
 		if err != nil {
 			m.expireMissing(time.Now())
-			sleep.For(ctx, retryDelay)
+			delay := retryDelay
+			if !m.hasCopy() {
+				startDelay = min(startDelay+retryDelay, maxStartRetryDelay)
+				delay = startDelay
+			}
+			sleep.For(ctx, delay)
 		}
 	}
 	return ctx.Err()
 }
 
+// hasCopy reports whether all keys have been listed once.
+func (m *Mirror) hasCopy() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.hasListed
+}
+
 // update makes one call: a list if the copy isn't complete at any revision, else a poll. It reports whether a poll returned changes.
 func (m *Mirror) update(ctx context.Context) (bool, error) {
 	m.mu.RLock()
@@ -373,6 +389,9 @@
 	now := time.Now()
 	var changed []string
 	m.mu.Lock()
+	if batch.KeyHashes != nil {
+		batch.Events = append(batch.Events, m.deletions(batch)...)
+	}
 	for _, event := range batch.Events {
 		key := event.Pair.Key
 		switch {
@@ -391,6 +410,20 @@
 	m.notifyChanged(changed)
 }
 
+// deletions returns the deletions of the keys that the copy has and a batch with the hashes of all keys has not; m.mu is held.
+func (m *Mirror) deletions(batch kv.WatchBatch) (events []kv.Event) {
+	exists := make(map[uint64]bool, len(batch.KeyHashes))
+	for _, hash := range batch.KeyHashes {
+		exists[hash] = true
+	}
+	for key, held := range m.pairs {
+		if held.Version < batch.Revision && !exists[kv.HashKey(key)] {
+			events = append(events, kv.Event{Deleted: true, Pair: kv.Pair{Key: key, Version: batch.Revision}})
+		}
+	}
+	return events
+}
+
 // record retains changes for the nodes that use this one as their upstream; m.mu is held. A change that a newer one of the same key has
 // superseded is dropped: values can be large, and a node that is behind would be sent all of them.
 func (m *Mirror) record(events []kv.Event) {
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -52,6 +52,42 @@
 	return batch, err
 }
 
+// Difference returns what differs in the copy from that of a reader that was complete at a revision, of which the changes are no longer retained: the
+// pairs that were written since, and the hashes of all keys. It is much smaller than Listing. The error is kv.ErrCompacted if the reader's copy is of
+// another era, and kv.ErrUnavailable as for Changes.
+func (m *Mirror) Difference(after kv.Version) (kv.WatchBatch, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if err := m.checkFresh(); err != nil {
+		return kv.WatchBatch{}, err
+	}
+	if after.Era() != m.era || after == 0 || after > m.revision {
+		return kv.WatchBatch{}, kv.Error.Wrap(&kv.ErrCompacted{Oldest: m.historyFrom})
+	}
+	batch := kv.WatchBatch{
+		Revision: m.revision, Age: time.Duration(m.opts.Now() - m.confirmedAt), Silence: time.Since(m.lastAnswer), SinceOutage: m.sinceOutage(),
+		KeyHashes: make([]uint64, 0, len(m.pairs)),
+	}
+	for key, pair := range m.pairs {
+		// Each node keeps missing keys for its own grace period.
+		if _, isMissing := m.missing[key]; isMissing {
+			continue
+		}
+		batch.KeyHashes = append(batch.KeyHashes, kv.HashKey(key))
+		if pair.Version > after {
+			batch.Events = append(batch.Events, kv.Event{Pair: pair})
+		}
+	}
+	return batch, nil
+}
+
+// HasStoreAnswered reports whether the store has answered recently, to this node or to the one through which it reads, and the copy is complete.
+func (m *Mirror) HasStoreAnswered() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.checkFresh() == nil
+}
+
 // checkFresh returns kv.ErrUnavailable if the copy must not be served to other nodes; m.mu is held.
 func (m *Mirror) checkFresh() error {
 	switch silence := time.Since(m.lastAnswer); {
--- a/internal/node/tunnels.go
+++ b/internal/node/tunnels.go
@@ -40,7 +40,7 @@
 	n.tunnels.servers.Store(&map[string]bool{})
 	n.tunnels.dialer = tunnel.NewDialer(tunnel.DialerOptions{
 		Network: n.opts.Network, Paths: paths, Timeout: serverDialTimeout, Log: n.log, Sign: n.peerKeys().SignConnect,
-		Helpers: tunnel.NewHelpers(own.NodeID(), api.FailureDomain(own.FailureDomain), n.tunnels.nodes.Load),
+		Helpers: tunnel.NewHelpers(own.NodeID(), api.FailureDomain(own.FailureDomain), nil, n.tunnels.nodes.Load),
 		CountTunnel: func(outcome tcp.DialOutcome) {
 			n.metrics.Counter("server_tunnels", metric.Label{Name: "outcome", Value: string(outcome)}).Inc(1)
 		},
--- a/internal/nodelist/nodelist.go
+++ b/internal/nodelist/nodelist.go
@@ -33,7 +33,7 @@
 	leaseRenewals        = 3
 	maxLease             = 9 * time.Second
 	// restoreDelayPerNode times the number of nodes, at most maxRestoreDelay, is the time over which the nodes spread their new entries after a
-	// restore of the store, two writes each, so that the store isn't overloaded.
+	// restore or an outage of the store, two writes each, so that the store isn't overloaded.
 	restoreDelayPerNode = 2 * time.Millisecond
 	maxRestoreDelay     = 1200 * time.Millisecond
 	// retryDelay is the minimum wait after a failed call, and retryDelayPerNode times the number of nodes the mean one of a large fleet, so that
@@ -62,6 +62,8 @@
 	// take over work for others.
 	CPU       float64 `json:"CPU,omitempty"`
 	Bandwidth float64 `json:"Bandwidth,omitempty"`
+	// SharesWork is set by nodes that tell each other what they have under way at servers.
+	SharesWork bool `json:"SharesWork,omitempty"`
 	// IsLeaving is set by a node that stops soon after an outage of the store, when other nodes keep entries that are gone.
 	IsLeaving bool `json:"IsLeaving,omitempty"`
 }
@@ -97,7 +99,10 @@
 	Restored <-chan struct{}
 	// KeepsMissing reports whether other nodes keep an entry that is gone for some time, as after an outage; nil means never.
 	KeepsMissing func() bool
-	Log          log.Interface
+	// HasStoreAnswered reports whether the store has answered this node's reads recently. While it has not, failed calls are repeated rarely: they
+	// would fail again, and all calls to a store that is out count. Nil means always.
+	HasStoreAnswered func() bool
+	Log              log.Interface
 
 	// lease is the ID of the lease of the node's entry; 0 if it has none.
 	lease atomic.Int64
@@ -122,10 +127,34 @@
 			wait = a.retryDelay()
 		}
 		a.pause(ctx, wait)
+		if err != nil {
+			a.awaitStore(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
+// awaitStore waits until the store answers, at most for one renewal interval: reads may fail for another reason.
+func (a *Announcer) awaitStore(ctx context.Context) {
+	if a.HasStoreAnswered == nil || a.HasStoreAnswered() {
+		return
+	}
+	bound := a.leaseInterval
+	if bound == 0 {
+		bound = maxRenewInterval
+	}
+	for begin := time.Now(); ctx.Err() == nil && time.Since(begin) < bound; sleep.For(ctx, checkInterval) {
+		if a.HasStoreAnswered() {
+			// The nodes return to the store one after the other.
+			sleep.For(ctx, a.restoreDelay())
+			return
+		}
+	}
+}
+
+// checkInterval is the interval at which a node checks whether the store answers.
+const checkInterval = 20 * time.Millisecond
+
 // pause waits until the next renewal, which is due soon after a restore of the store.
 func (a *Announcer) pause(ctx context.Context, wait time.Duration) {
 	timer := sleep.NewTimer(wait)
@@ -138,7 +167,7 @@
 	}
 }
 
-// restoreDelay returns how long after a restore of the store this node writes its entry.
+// restoreDelay returns how long after a restore or an outage of the store this node writes its entry.
 func (a *Announcer) restoreDelay() time.Duration {
 	spread := min(restoreDelayPerNode*time.Duration(a.NodeCount()), maxRestoreDelay)
 	return time.Duration(rendezvous.Fraction(xxhash.Sum64String(string(a.Node.ID))) * float64(spread))
--- a/internal/placement/fill.go
+++ b/internal/placement/fill.go
@@ -29,7 +29,7 @@
 func HasFillRoom(c Candidate, share float64, nodes int) bool {
 	limit := fillLimit(c.Slots, share)
 	ownLimit := int(math.Ceil(fillImbalance * float64(limit) / float64(nodes)))
-	return c.View.InFlight < ownLimit && EstimateInFlight(c, reportedPeerInFlight(c)) < float64(limit)
+	return c.View.InFlight < ownLimit && EstimateInFlight(c, reportedPeerInFlight(&c)) < float64(limit)
 }
 
 // fillImbalance is the multiple of an even share that a node may send to its fill target, since other nodes may get fewer requests.
--- a/internal/placement/fill_test.go
+++ b/internal/placement/fill_test.go
@@ -51,7 +51,7 @@
 					candidates[s].View.InFlight, candidates[s].View.InFlightAtReport = own[node][s], ownAtReport[node][s]
 					candidates[s].View.HasLoad, candidates[s].View.Load = true, backend.Load{Running: reported[s]}
 				}
-				chosen := placement.Choose(placement.Request{}, candidates)
+				chosen := placement.Choose(placement.Request{PerRequest: 1}, candidates)
 				if target := placement.FillTarget(repeat(slots, servers), share, nodes, fmt.Sprint(node)); useFill && placement.HasFillRoom(candidates[target], share, nodes) {
 					chosen = target
 				}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/placement"
+	"github.com/monsoonrail/monsoonrail/internal/workload"
 )
 
 func idle(slots int) placement.Candidate {
@@ -27,45 +28,63 @@
 		change(&c)
 		return c
 	}
-	prompt := placement.Request{PromptTokens: 6000, TokensPerSlot: 1500, Bytes: 8000}
-	short := placement.Request{PromptTokens: 300, TokensPerSlot: 1500, Bytes: 8000}
+	heard := func(c placement.Candidate, requests int, unread workload.Work) placement.Candidate {
+		c.View.Peers = workload.Peers{Load: workload.Load{Requests: requests, Unread: unread}, At: time.Unix(1, 0)}
+		c.View.PeersAge = 200 * time.Millisecond
+		return c
+	}
+	const perRequest = 1500
+	plain, sized := placement.Request{PerRequest: perRequest}, placement.Request{PerRequest: perRequest, PerKilobyte: 240, Bytes: 8000}
+	reading := func(c placement.Candidate, unread workload.Work) placement.Candidate {
+		c.Unread = unread
+		return c
+	}
 	for _, test := range []struct {
 		name       string
 		request    placement.Request
 		candidates []placement.Candidate
 		want       int
 	}{
-		{"no server", placement.Request{}, nil, -1},
-		{"equal ones: the first by the request's rank", placement.Request{}, []placement.Candidate{idle(8), idle(8)}, 0},
-		{"others' requests are known from the report", placement.Request{}, []placement.Candidate{busy(0, 8, 3), busy(2, 2, 0)}, 1},
-		{"an old report no longer counts", placement.Request{}, []placement.Candidate{
+		{"no server", plain, nil, -1},
+		{"equal ones: the first by the request's rank", plain, []placement.Candidate{idle(8), idle(8)}, 0},
+		{"others' requests are known from the report", plain, []placement.Candidate{busy(0, 8, 3), busy(2, 2, 0)}, 1},
+		{"an old report no longer counts", plain, []placement.Candidate{
 			with(busy(0, 8, 9), func(c *placement.Candidate) { c.View.LoadAge = time.Minute }), busy(1, 1, 0),
 		}, 0},
-		{"a server of which nothing is known is no emptier than the rest", placement.Request{}, []placement.Candidate{
+		{"a server of which nothing is known is no emptier than the rest", plain, []placement.Candidate{
 			idle(8), busy(1, 5, 0), busy(1, 6, 0), busy(1, 3, 0),
 		}, 3},
-		{"a report counts less with its age", placement.Request{}, []placement.Candidate{
+		{"a report counts less with its age", plain, []placement.Candidate{
 			with(busy(0, 1, 0), func(c *placement.Candidate) { c.View.LoadAge = 900 * time.Millisecond }), busy(0, 3, 0), busy(0, 6, 0),
 		}, 1},
-		{"a long prompt goes where it is cached", prompt, []placement.Candidate{
-			busy(1, 1, 0), with(busy(2, 2, 0), func(c *placement.Candidate) { c.CachedTokens = 5000 }),
+		{"a long prompt goes where it is cached", sized, []placement.Candidate{
+			reading(busy(1, 1, 0), 6000), reading(busy(2, 2, 0), 1000),
 		}, 1},
-		{"but not behind a long queue", prompt, []placement.Candidate{
-			busy(1, 1, 0), with(busy(2, 8, 6), func(c *placement.Candidate) { c.CachedTokens = 5000 }),
+		{"but not behind a long queue", sized, []placement.Candidate{
+			reading(busy(1, 1, 0), 6000), reading(busy(2, 8, 6), 1000),
 		}, 0},
-		{"a short one isn't sent across domains for a few cached tokens", short, []placement.Candidate{
-			with(idle(8), func(c *placement.Candidate) { c.IsSameDomain, c.CachedTokens = false, 200 }), idle(8),
+		{"a short one isn't sent across domains for a few cached tokens", sized, []placement.Candidate{
+			reading(with(idle(8), func(c *placement.Candidate) { c.IsSameDomain = false }), 100), reading(idle(8), 300),
 		}, 1},
-		{"a slow server gets less", placement.Request{}, []placement.Candidate{
+		{"a slow server gets less", plain, []placement.Candidate{
 			with(busy(2, 2, 0), func(c *placement.Candidate) { c.View.Slowness = 3 }), busy(3, 3, 0),
 		}, 1},
-		{"a server that fails often gets little", placement.Request{}, []placement.Candidate{
+		{"a server that fails often gets little", plain, []placement.Candidate{
 			with(idle(8), func(c *placement.Candidate) { c.View.FailureShare = 0.6 }), busy(4, 4, 0),
 		}, 1},
-		{"one that has just failed is passed over", placement.Request{}, []placement.Candidate{
+		{"a request isn't placed behind a long prompt that another node sent", plain, []placement.Candidate{
+			heard(idle(8), 1, 30_000), heard(idle(8), 3, 0),
+		}, 1},
+		{"what was said long ago no longer counts", plain, []placement.Candidate{
+			with(heard(idle(8), 1, 30_000), func(c *placement.Candidate) { c.View.PeersAge = time.Minute }), heard(idle(8), 3, 30_000),
+		}, 0},
+		{"the newer of a report and what others said counts", plain, []placement.Candidate{
+			with(heard(busy(0, 8, 3), 0, 0), func(c *placement.Candidate) { c.View.LoadAge = 400 * time.Millisecond }), heard(idle(8), 2, 0),
+		}, 0},
+		{"one that has just failed is passed over", plain, []placement.Candidate{
 			with(idle(8), func(c *placement.Candidate) { c.View.IsAvoided = true }), busy(8, 8, 8),
 		}, 1},
-		{"unless there is no other", placement.Request{}, []placement.Candidate{
+		{"unless there is no other", plain, []placement.Candidate{
 			with(idle(8), func(c *placement.Candidate) { c.View.IsAvoided = true }),
 		}, 0},
 	} {
@@ -95,7 +114,7 @@
 				candidates[s].View.InFlight, candidates[s].View.InFlightAtReport = own[node][rank], ownAtReport[node][rank]
 				candidates[s].View.HasLoad, candidates[s].View.Load = true, backend.Load{Running: reported[rank]}
 			}
-			chosen := (placement.Choose(placement.Request{}, candidates) + i + seed) % servers
+			chosen := (placement.Choose(placement.Request{PerRequest: 1}, candidates) + i + seed) % servers
 			own[node][chosen]++
 			total[chosen]++
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,10 @@
 	maxTransfer = 5 * time.Second
 	// maxAnswerBytes bounds an answer, which can be a complete copy of the store.
 	maxAnswerBytes = 16 << 20
+	// minHeldBytes is the encoded size of an answer's values from which on at most maxHeldAnswers are held at a time, until their readers have read them. Other
+	// readers are turned away, and ask another node.
+	minHeldBytes   = 256 << 10
+	maxHeldAnswers = 8
 )
 
 // Error is the class of the package's errors.
@@ -39,6 +43,8 @@
 type Mirror interface {
 	Listing() (kv.ListResult, error)
 	Changes(ctx context.Context, after kv.Version, wait time.Duration) (kv.WatchBatch, error)
+	// Difference answers a reader whose next changes are no longer retained.
+	Difference(after kv.Version) (kv.WatchBatch, error)
 }
 
 type pollRequest struct {
@@ -46,6 +52,9 @@
 	Wait  time.Duration
 	// AcceptDeflate allows deflated values in the answer.
 	AcceptDeflate bool `json:",omitempty"`
+	// AcceptPacked allows packed events in the answer, and AcceptDifference one with key hashes instead of an error for a compacted history.
+	AcceptPacked     bool `json:",omitempty"`
+	AcceptDifference bool `json:",omitempty"`
 }
 
 // event is a kv.Event with its value, or with the deflated value instead.
@@ -56,12 +65,25 @@
 
 // pollAnswer is the answer to both calls; the answer to a list has no deletions.
 type pollAnswer struct {
-	Events   []event
+	Events []event
+	// Packed holds events as packed by packer, which follow those in Events.
+	Packed   []byte `json:",omitempty"`
 	Revision kv.Version
 	Age      time.Duration
 	Silence  time.Duration
 	// SinceOutage is 0 if there was no recent outage.
 	SinceOutage time.Duration `json:",omitempty"`
+	// KeyHashes holds kv.WatchBatch.KeyHashes, eight bytes each in big-endian order.
+	KeyHashes []byte `json:",omitempty"`
+}
+
+// size returns the size of the encoded values in bytes.
+func (a *pollAnswer) size() int {
+	size := len(a.Packed)
+	for _, e := range a.Events {
+		size += len(e.Pair.Value) + len(e.Deflated)
+	}
+	return size
 }
 
 // inflated returns the events with their values.
@@ -77,12 +99,32 @@
 		}
 		events = append(events, e.Event)
 	}
-	return events, nil
+	if a.Packed == nil {
+		return events, nil
+	}
+	unpacked, err := unpack(a.Packed)
+	return append(events, unpacked...), err
 }
 
-// Handle registers the calls that serve a mirror to other nodes.
-func Handle(mux *http.ServeMux, mirror Mirror) {
-	values := newDeflater()
+// Served is what a reader was served, used in metric labels.
+type Served string
+
+// What readers are served.
+const (
+	ServedList       Served = "list"
+	ServedChanges    Served = "changes"
+	ServedDifference Served = "difference"
+	// ServedNothing is a reader that was turned away, since the copy must not be served or too many large answers are held.
+	ServedNothing Served = "nothing"
+)
+
+// Handle registers the calls that serve a mirror to other nodes. It calls count, which may be nil, for each answer with the size of its values as sent.
+func Handle(mux *http.ServeMux, mirror Mirror, count func(what Served, bytes int)) {
+	if count == nil {
+		count = func(Served, int) {}
+	}
+	values, packed := newDeflater(), new(packer)
+	held := make(chan struct{}, maxHeldAnswers)
 	handle := func(path string, read func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 			var request pollRequest
@@ -91,9 +133,34 @@
 				return
 			}
 			events, answer, err := read(req.Context(), request)
+			if err == nil && request.AcceptPacked && sizeOf(events) >= minDeflateBytes && len(events) > 1 {
+				key := packKey{after: request.After, revision: answer.Revision, isShared: path == pathPoll && answer.KeyHashes == nil}
+				answer.Packed = packed.pack(key, events)
+				events = nil
+			}
 			for _, e := range events {
 				answer.Events = append(answer.Events, values.encode(e, request.AcceptDeflate))
 			}
+			if answer.size() >= minHeldBytes {
+				select {
+				case held <- struct{}{}:
+					defer func() { <-held }()
+				default:
+					count(ServedNothing, 0)
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+			}
+			switch {
+			case err != nil:
+				count(ServedNothing, 0)
+			case path == pathList:
+				count(ServedList, answer.size())
+			case answer.KeyHashes != nil:
+				count(ServedDifference, answer.size()+len(answer.KeyHashes))
+			default:
+				count(ServedChanges, answer.size())
+			}
 			respond(w, answer, err)
 		})
 	}
@@ -107,7 +174,12 @@
 	})
 	handle(pathPoll, func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error) {
 		batch, err := mirror.Changes(ctx, request.After, request.Wait)
-		return batch.Events, pollAnswer{Revision: batch.Revision, Age: batch.Age, Silence: batch.Silence, SinceOutage: batch.SinceOutage}, err
+		if kv.IsErrCompacted(err) && request.AcceptDifference {
+			batch, err = mirror.Difference(request.After)
+		}
+		return batch.Events, pollAnswer{
+			Revision: batch.Revision, Age: batch.Age, Silence: batch.Silence, SinceOutage: batch.SinceOutage, KeyHashes: encodeHashes(batch.KeyHashes),
+		}, err
 	})
 }
 
@@ -146,17 +218,18 @@
 
 // Poll waits for changes of the node's copy, at most for wait. The prefix is ignored.
 func (c *Client) Poll(ctx context.Context, _ string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
-	events, answer, err := c.call(ctx, pathPoll, pollRequest{After: after, Wait: wait})
+	events, answer, err := c.call(ctx, pathPoll, pollRequest{After: after, Wait: wait, AcceptDifference: true})
 	if err != nil {
 		return kv.WatchBatch{}, err
 	}
 	return kv.WatchBatch{
 		Events: events, Revision: answer.Revision, Age: answer.Age, Silence: answer.Silence, SinceOutage: answer.SinceOutage,
+		KeyHashes: decodeHashes(answer.KeyHashes),
 	}, nil
 }
 
 func (c *Client) call(ctx context.Context, path string, request pollRequest) ([]kv.Event, pollAnswer, error) {
-	request.AcceptDeflate = true
+	request.AcceptDeflate, request.AcceptPacked = true, true
 	var answer pollAnswer
 	got, err := httpjson.Do(ctx, c.Client, httpjson.Request{
 		Method: http.MethodPost, URL: "http://" + c.Address + path, Body: request, MaxResponseBytes: maxAnswerBytes,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,8 +24,10 @@
 	listed kv.ListResult
 	batch  kv.WatchBatch
 	err    error
-	after  kv.Version
-	wait   time.Duration
+	// difference is nil if there is none.
+	difference *kv.WatchBatch
+	after      kv.Version
+	wait       time.Duration
 }
 
 func (m *mirror) Listing() (kv.ListResult, error) { return m.listed, m.err }
@@ -35,9 +37,17 @@
 	return m.batch, m.err
 }
 
+func (m *mirror) Difference(after kv.Version) (kv.WatchBatch, error) {
+	if m.difference == nil {
+		return kv.WatchBatch{}, m.err
+	}
+	m.after = after
+	return *m.difference, nil
+}
+
 func client(t *testing.T, m *mirror) *relay.Client {
 	mux := http.NewServeMux()
-	relay.Handle(mux, m)
+	relay.Handle(mux, m, nil)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return &relay.Client{Address: server.Listener.Addr().String(), Client: http.DefaultClient}
@@ -156,10 +166,12 @@
 	f.Add([]byte(`{"After":1,"Wait":-5,"AcceptDeflate":true}`))
 	f.Add([]byte(`{"Events":[{"Pair":{"Key":"a","Value":"AA==","Version":-1}},{"Deleted":true}],"Revision":9e18,"Age":-1}`))
 	f.Add([]byte(`{"Events":[{"Pair":{"Key":"a"},"Deflated":"S0lNTAIA"}],"Revision":1,"SinceOutage":-1}`))
+	f.Add([]byte(`{"Events":null,"Packed":"S0lNTAIA","Revision":1,"KeyHashes":"AAAAAAAAAAE="}`))
+	f.Add([]byte(`{"After":1,"AcceptPacked":true,"AcceptDifference":true}`))
 	f.Add([]byte(`{"Events":null}{`))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		mux := http.NewServeMux()
-		relay.Handle(mux, &mirror{batch: kv.WatchBatch{Revision: 1}})
+		relay.Handle(mux, &mirror{batch: kv.WatchBatch{Revision: 1}}, nil)
 		for _, path := range []string{"/v1/store/list", "/v1/store/poll"} {
 			mux.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, path, bytes.NewReader(message)))
 		}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -3,6 +3,8 @@
 
 import (
 	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/region"
 )
 
 // Named types of a configuration.
@@ -80,6 +82,8 @@
 	Priority int
 	// Models are the models among which the node may choose, the smallest first; empty if the caller names the model.
 	Models []Model
+	// Regions holds the regions in which servers may run the route's requests.
+	Regions region.Set
 }
 
 // MayRepeat reports whether a request of the route may be sent to another server after an attempt that may have run.
@@ -99,6 +103,14 @@
 	Cost map[Model]float64
 }
 
+// WarmUp says how the servers of a service warm up; the zero value is that of servers that are never cold.
+type WarmUp struct {
+	// Duration is how long a server is cold after its start.
+	Duration time.Duration
+	// RequestsPerSecond is what a cold server takes from all nodes together; 0 means that it isn't limited.
+	RequestsPerSecond float64
+}
+
 // ServiceInfo describes a service.
 type ServiceInfo struct {
 	Name Service
@@ -106,6 +118,7 @@
 	HealthPath string
 	// MaxConnections is the number of connections that a server accepts from all its clients together; 0 if unknown.
 	MaxConnections int
+	WarmUp         WarmUp
 	// Engine is nil for services without models.
 	Engine *Engine
 }
@@ -125,6 +138,8 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions holds the regions in which servers may run the team's requests.
+	Regions region.Set
 }
 
 // Config is a complete configuration.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,6 +5,8 @@
 	"net"
 	"slices"
 	"strings"
+
+	"github.com/monsoonrail/monsoonrail/internal/region"
 )
 
 // Table indexes the routes, services and teams of one configuration. It is read-only and safe for concurrent use.
@@ -14,6 +16,8 @@
 	routes   map[string][]*Route
 	services map[Service]*ServiceInfo
 	teams    map[Key]*TeamInfo
+	// regions holds, of the hosts that have restricted routes, the regions that all of these routes share.
+	regions map[string]region.Set
 }
 
 // NewTable indexes a configuration.
@@ -23,11 +27,15 @@
 		routes:   make(map[string][]*Route),
 		services: make(map[Service]*ServiceInfo, len(cfg.Services)),
 		teams:    make(map[Key]*TeamInfo),
+		regions:  make(map[string]region.Set),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
+		if r.Regions.IsRestricted() {
+			t.regions[host] = t.regions[host].Intersect(r.Regions)
+		}
 	}
 	for _, routes := range t.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -53,6 +61,9 @@
 	return nil
 }
 
+// HostRegions returns the regions that all restricted routes of a host share; every region if none is restricted. host may include a port.
+func (t *Table) HostRegions(host string) region.Set { return t.regions[hostName(host)] }
+
 // hostName returns a Host header's value in lower case and without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/selfreport/report.go
+++ b/internal/selfreport/report.go
@@ -16,6 +16,8 @@
 // Load is a server's own count of its running and waiting requests and of its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes on the server's machine at the moment; 0 if the server doesn't say.
+	Slowdown float64
 }
 
 // Report is what a server reports about itself in one answer.
@@ -74,6 +76,8 @@
 	Limited
 	// Full means that a brittle server may have no room.
 	Full
+	// Warming means that the server is cold and takes no request from this node for now.
+	Warming
 )
 
 // String returns the verdict as used in log fields.
@@ -87,6 +91,8 @@
 		return "limited"
 	case Full:
 		return "full"
+	case Warming:
+		return "warming"
 	default:
 		return "admitted"
 	}
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -55,6 +56,9 @@
 	ExposureSlack float64
 	// MaxRollbackDelay is the time after which an unhealthy version must get no more requests.
 	MaxRollbackDelay time.Duration
+	// WarmUpOvershoot and WarmUpSlack bound the requests that a cold server gets in any second, from all nodes together, to
+	// WarmUpOvershoot x the requests a second that its service says it takes + WarmUpSlack; both are 0 if there is no bound.
+	WarmUpOvershoot, WarmUpSlack float64
 	// SessionTimeout is the time without requests after which a session ends.
 	SessionTimeout time.Duration
 	// MaxAddressTTL is the maximum time for which callers use resolved addresses.
@@ -76,11 +80,12 @@
 type Settings struct {
 	Node          api.NodeID
 	FailureDomain api.FailureDomain
-	Region        string
-	Listen        Listen
-	Resources     ResourceLimits
-	Bounds        Bounds
-	Store         Store
+	// Regions holds the region of each failure domain that the deployment names, that of this node included.
+	Regions   region.Map
+	Listen    Listen
+	Resources ResourceLimits
+	Bounds    Bounds
+	Store     Store
 	// HeartbeatInterval is the interval at which a backend server renews its entry in the store.
 	HeartbeatInterval time.Duration
 }
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -34,7 +34,9 @@
 // processes runs nodes as processes; it implements dev.NodeRunner.
 type processes struct {
 	binary, dir string
-	network     *network
+	// earlier is the program of an earlier release, with which every other node runs until it is started again; empty if there is none.
+	earlier string
+	network *network
 
 	mu      sync.Mutex
 	running map[int]*process
@@ -59,8 +61,8 @@
 	paused bool
 }
 
-func newProcesses(binary, dir string, network *network) *processes {
-	return &processes{binary: binary, dir: dir, network: network, running: make(map[int]*process), starts: make(map[int]int)}
+func newProcesses(binary, earlier, dir string, network *network) *processes {
+	return &processes{binary: binary, earlier: earlier, dir: dir, network: network, running: make(map[int]*process), starts: make(map[int]int)}
 }
 
 // StartNode implements dev.NodeRunner.
@@ -71,7 +73,10 @@
 	}
 	p.mu.Lock()
 	p.starts[i]++
-	name := fmt.Sprintf("node-%d.%d.log", i+1, p.starts[i])
+	name, binary := fmt.Sprintf("node-%d.%d.log", i+1, p.starts[i]), p.binary
+	if p.earlier != "" && i%2 == 1 && p.starts[i] == 1 {
+		binary = p.earlier
+	}
 	p.mu.Unlock()
 	output, err := os.Create(filepath.Join(p.dir, name))
 	if err != nil {
@@ -79,7 +84,7 @@
 	}
 	defer output.Close()
 	run := &process{metrics: net.JoinHostPort(host, metricsPort), done: make(chan struct{}), started: time.Now()}
-	run.cmd = exec.Command(p.binary, p.arguments(i, settings, run.metrics)...)
+	run.cmd = exec.Command(binary, p.arguments(i, settings, run.metrics)...)
 	run.cmd.Env = append(os.Environ(),
 		"MONSOONRAIL_SESSION_SECRETS="+settings.Secrets.Session[0], "MONSOONRAIL_PEER_SECRET="+settings.Secrets.Peer,
 		"MONSOONRAIL_ISSUE_SECRETS="+settings.Secrets.Issue[0], "MONSOONRAIL_OPERATORS="+settings.Secrets.Operators[0])
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -132,7 +132,7 @@
 
 	network := newNetwork()
 	defer network.close()
-	nodes := newProcesses(r.binary, r.dir, network)
+	nodes := newProcesses(r.binary, os.Getenv("SOAK_OLD"), r.dir, network)
 	defer nodes.killAll()
 	watch := newConfigWatch(nodes)
 	events, err := os.Create(filepath.Join(r.dir, "events.log"))
--- a/internal/storepath/plan_test.go
+++ b/internal/storepath/plan_test.go
@@ -98,3 +98,44 @@
 		}
 	})
 }
+
+// TestReadersFollowTheLinksOfNodes counts how many nodes read through each one at first: at most what its link bears, also in failure domains without
+// large machines, at most two relays away from the store.
+func TestReadersFollowTheLinksOfNodes(t *testing.T) {
+	const domains, maxDepth, slack = 3, 3, 1.6
+	for _, test := range []struct {
+		name      string
+		perDomain int
+		large     bool
+	}{{"100 with large machines", 100, true}, {"100 small", 100, false}, {"200 small", 200, false}, {"30 small", 30, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			nodes := largeFleet(domains, test.perDomain)
+			for i := range nodes {
+				nodes[i].Bandwidth = 10e6
+				if nodes[i].CPU < 0.8 {
+					continue
+				}
+				if nodes[i].CPU = 0.144; test.large {
+					nodes[i].CPU, nodes[i].Bandwidth = 0.8, 200e6
+				}
+			}
+			first, readers := make(map[api.NodeID]api.NodeID), make(map[api.NodeID]int)
+			for _, node := range nodes {
+				if path := storepath.Plan(node.ID, node.FailureDomain, nodes)[0]; path.Via != nil {
+					first[node.ID] = path.Via.ID
+					readers[path.Via.ID]++
+				}
+			}
+			for _, node := range nodes {
+				// Nodes choose by hash, which doesn't distribute them evenly.
+				most := int(slack * node.Bandwidth / 300_000)
+				qt.Check(t, readers[node.ID] <= most, qt.IsTrue, qt.Commentf("%d nodes read through %s, which bears %d", readers[node.ID], node.ID, most))
+				depth := 0
+				for id, ok := first[node.ID]; ok && depth <= maxDepth; id, ok = first[id] {
+					depth++
+				}
+				qt.Check(t, depth < maxDepth, qt.IsTrue, qt.Commentf("%s", node.ID))
+			}
+		})
+	}
+}
--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -139,7 +140,11 @@
 		s.failures = 0
 	}
 	if nodes := s.opts.Nodes(); s.plan == nil || nodes != s.plannedNodes {
-		s.setPlan(nodes)
+		knewNodes := slices.ContainsFunc(s.plan, func(p Path) bool { return p.Via != nil })
+		if s.setPlan(nodes); !knewNodes {
+			// The failures were the store's, before the node knew of others.
+			s.failures, s.isUntried = 0, true
+		}
 	}
 	path := s.plan[s.failures%len(s.plan)]
 	if path.IsBudgeted && s.isUntried && !s.takeFallback(now) {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -15,6 +15,7 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -121,6 +122,12 @@
 	return !d.opts.Paths.IsSilent(address)
 }
 
+// MayCarry reports whether a connection may carry the requests of a context: one through another node only if that is in a region of the context.
+func (d *Dialer) MayCarry(ctx context.Context, conn net.Conn) bool {
+	tunneled, ok := conn.(*Conn)
+	return !ok || region.FromContext(ctx).Has(d.opts.Helpers.regions[tunneled.Via.FailureDomain])
+}
+
 // IsOwnPathLost reports whether this node's own path to a server is lost.
 func (d *Dialer) IsOwnPathLost(address string) bool { return d.opts.Paths.IsLost(address) }
 
@@ -175,7 +182,7 @@
 		return nil
 	}
 	r := &race{
-		d: d, address: address, plan: d.opts.Paths.Plan(address, time.Now()), won: make(chan result, 1), abandoned: make(chan struct{}),
+		d: d, address: address, within: region.FromContext(ctx), plan: d.opts.Paths.Plan(address, time.Now()), won: make(chan result, 1), abandoned: make(chan struct{}),
 		results: make(chan result, maxHelpersAsked+1),
 	}
 	d.running.Go(func() { r.run(ctx) })
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -92,7 +92,7 @@
 		}
 		n.dialer = tunnel.NewDialer(tunnel.DialerOptions{
 			Network: n.network.Host(nodeIP), Paths: n.paths, CountTunnel: func(tcp.DialOutcome) { n.asked.Add(1) },
-			Helpers: tunnel.NewHelpers("self", "d1", func() *[]nodelist.Node { return &nodes }),
+			Helpers: tunnel.NewHelpers("self", "d1", nil, func() *[]nodelist.Node { return &nodes }),
 		})
 		test(n)
 		n.dialer.Close()
--- a/internal/tunnel/helpers.go
+++ b/internal/tunnel/helpers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -23,6 +24,8 @@
 type Helpers struct {
 	self   api.NodeID
 	domain api.FailureDomain
+	// regions holds the regions of the failure domains.
+	regions region.Map
 	// nodes returns the list of nodes. The list is not modified; a change replaces it.
 	nodes func() *[]nodelist.Node
 
@@ -30,7 +33,9 @@
 	// listed is the list for which chosen was made, and byID holds its nodes.
 	listed *[]nodelist.Node
 	chosen []nodelist.Node
-	byID   map[api.NodeID]string
+	// chosenWithin holds the choices among the nodes of a restricted set of regions, by the set's key.
+	chosenWithin map[string][]nodelist.Node
+	byID         map[api.NodeID]string
 	// round makes the choice another one when all chosen nodes are avoided, chosenAt is when it was made.
 	round    int
 	chosenAt time.Time
@@ -39,19 +44,20 @@
 	avoidedUntil map[api.NodeID]time.Time
 }
 
-// NewHelpers returns the helpers of a node.
-func NewHelpers(self api.NodeID, domain api.FailureDomain, nodes func() *[]nodelist.Node) *Helpers {
-	return &Helpers{self: self, domain: domain, nodes: nodes, avoidedUntil: make(map[api.NodeID]time.Time)}
+// NewHelpers returns the helpers of a node; regions may be nil if no request is restricted to some.
+func NewHelpers(self api.NodeID, domain api.FailureDomain, regions region.Map, nodes func() *[]nodelist.Node) *Helpers {
+	return &Helpers{self: self, domain: domain, regions: regions, nodes: nodes, avoidedUntil: make(map[api.NodeID]time.Time)}
 }
 
-// Next returns the next helper that isn't avoided and isn't among tried; ok is false if there is none.
-func (h *Helpers) Next(tried []api.NodeID, now time.Time) (helper nodelist.Node, ok bool) {
+// Next returns the next helper in a set of regions that isn't avoided and isn't among tried; ok is false if there is none.
+func (h *Helpers) Next(tried []api.NodeID, within region.Set, now time.Time) (helper nodelist.Node, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.update(now)
-	for i := range h.chosen {
-		at := (h.turn + i) % len(h.chosen)
-		if node := h.chosen[at]; !slices.Contains(tried, node.ID) && !h.isAvoided(node.ID, now) {
+	chosen := h.chosenIn(within)
+	for i := range chosen {
+		at := (h.turn + i) % len(chosen)
+		if node := chosen[at]; !slices.Contains(tried, node.ID) && !h.isAvoided(node.ID, now) {
 			h.turn = at + 1
 			return node, true
 		}
@@ -59,6 +65,20 @@
 	return nodelist.Node{}, false
 }
 
+// chosenIn returns the helpers in a set of regions; the caller holds h.mu.
+func (h *Helpers) chosenIn(within region.Set) []nodelist.Node {
+	if !within.IsRestricted() {
+		return h.chosen
+	}
+	chosen, ok := h.chosenWithin[within.Key()]
+	if !ok {
+		nodes := slices.DeleteFunc(slices.Clone(*h.listed), func(node nodelist.Node) bool { return !within.Has(h.regions[node.FailureDomain]) })
+		chosen = Choose(h.self, h.domain, nodes, h.round)
+		h.chosenWithin[within.Key()] = chosen
+	}
+	return chosen
+}
+
 // Avoid records that a helper could not help.
 func (h *Helpers) Avoid(id api.NodeID, now time.Time) {
 	h.mu.Lock()
@@ -93,6 +113,7 @@
 		h.round++
 	}
 	h.chosen, h.chosenAt = Choose(h.self, h.domain, *listed, h.round), now
+	h.chosenWithin = make(map[string][]nodelist.Node)
 }
 
 // Choose returns the helpers of a node, in an order in which those next to each other are of different failure domains where possible. Another round gives
--- a/internal/tunnel/helpers_test.go
+++ b/internal/tunnel/helpers_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/tunnel"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -60,11 +61,11 @@
 // TestAvoidedHelpersAreReplaced avoids all helpers of a node: after a while it gets others, which leaves none of the fleet out.
 func TestAvoidedHelpersAreReplaced(t *testing.T) {
 	nodes := fleet(3, 20)
-	helpers := tunnel.NewHelpers(nodes[0].ID, nodes[0].FailureDomain, func() *[]nodelist.Node { return &nodes })
+	helpers := tunnel.NewHelpers(nodes[0].ID, nodes[0].FailureDomain, nil, func() *[]nodelist.Node { return &nodes })
 	asked, now := make(map[api.NodeID]bool), start
 	for range 40 {
 		for {
-			helper, ok := helpers.Next(nil, now)
+			helper, ok := helpers.Next(nil, region.Set{}, now)
 			if !ok {
 				break
 			}
@@ -80,10 +81,10 @@
 func TestHelpersTakeTurns(t *testing.T) {
 	nodes := fleet(4, 2)
 	listed := &nodes
-	helpers := tunnel.NewHelpers(nodes[0].ID, nodes[0].FailureDomain, func() *[]nodelist.Node { return listed })
+	helpers := tunnel.NewHelpers(nodes[0].ID, nodes[0].FailureDomain, nil, func() *[]nodelist.Node { return listed })
 	counts := make(map[api.NodeID]int)
 	for range 50 {
-		helper, ok := helpers.Next(nil, start)
+		helper, ok := helpers.Next(nil, region.Set{}, start)
 		qt.Assert(t, ok, qt.IsTrue)
 		counts[helper.ID]++
 	}
@@ -91,7 +92,7 @@
 	for id, count := range counts {
 		qt.Assert(t, count, qt.Equals, 10, qt.Commentf("%s", id))
 	}
-	left, _ := helpers.Next(nil, start)
+	left, _ := helpers.Next(nil, region.Set{}, start)
 	var rest []nodelist.Node
 	for _, node := range nodes {
 		if node.ID != left.ID {
@@ -102,7 +103,7 @@
 	listed = &rest
 	qt.Assert(t, helpers.IsListed(left), qt.IsFalse)
 	for range 50 {
-		helper, _ := helpers.Next(nil, start)
+		helper, _ := helpers.Next(nil, region.Set{}, start)
 		qt.Assert(t, helper.ID, qt.Not(qt.Equals), left.ID)
 	}
 }
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/monsoonrail/monsoonrail/internal/region"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -18,6 +19,8 @@
 	d       *Dialer
 	address string
 	plan    Plan
+	// within holds the regions of the nodes that may be asked.
+	within region.Set
 	// won gets the result of the race, results those of the attempts. abandoned is closed if nobody waits for the race.
 	won         chan result
 	abandoned   chan struct{}
@@ -140,11 +143,15 @@
 
 // askNext asks the next node for a connection, and reports false if there is none to ask.
 func (r *race) askNext(ctx context.Context) bool {
+	now := time.Now()
+	// A context may end a moment after its deadline, while the attempts that it bounds have already failed.
+	if deadline, ok := ctx.Deadline(); ok && !now.Before(deadline) {
+		return false
+	}
 	if len(r.asked) >= maxHelpersAsked || ctx.Err() != nil {
 		return false
 	}
-	now := time.Now()
-	helper, ok := r.d.opts.Helpers.Next(r.asked, now)
+	helper, ok := r.d.opts.Helpers.Next(r.asked, r.within, now)
 	if !ok {
 		return false
 	}
--- a/internal/tunnel/sockets_test.go
+++ b/internal/tunnel/sockets_test.go
@@ -36,15 +36,20 @@
 
 // newSocketDialer returns the dialer of a node that is cut off from a server, with another node that helps it, over real sockets.
 func newSocketDialer(t *testing.T, server string) *tunnel.Dialer {
+	return newSocketDialerBy(t, tcp.System{}, server)
+}
+
+// newSocketDialerBy is newSocketDialer with the other node's network.
+func newSocketDialerBy(t *testing.T, network tcp.Network, server string) *tunnel.Dialer {
 	helper := httptest.NewServer(tunnel.NewHandler(tunnel.HandlerOptions{
-		Network: tcp.System{}, Paths: new(tunnel.Paths), IsStopping: func() bool { return false },
+		Network: network, Paths: new(tunnel.Paths), IsStopping: func() bool { return false },
 		TakesRequests: func(address string) bool { return address == server },
 	}))
 	t.Cleanup(helper.Close)
 	nodes := []nodelist.Node{{ID: "helper", FailureDomain: "d2", Peers: strings.TrimPrefix(helper.URL, "http://")}}
 	dialer := tunnel.NewDialer(tunnel.DialerOptions{
 		Network: cutNetwork{cut: server}, Paths: new(tunnel.Paths), CountTunnel: func(tcp.DialOutcome) {},
-		Helpers: tunnel.NewHelpers("self", "d1", func() *[]nodelist.Node { return &nodes }),
+		Helpers: tunnel.NewHelpers("self", "d1", nil, func() *[]nodelist.Node { return &nodes }),
 	})
 	t.Cleanup(dialer.Close)
 	return dialer
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -66,3 +66,11 @@
 func (e *ErrHeadTooLarge) Error() string {
 	return fmt.Sprintf("head of the answer is over %d bytes", e.MaxBytes)
 }
+
+// ErrBadStatusLine means that the first line of an answer has no status or version of HTTP/1.
+type ErrBadStatusLine struct{ Proto, Status string }
+
+// Error implements error.
+func (e *ErrBadStatusLine) Error() string {
+	return fmt.Sprintf("bad status line %q", e.Proto+" "+e.Status)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,6 +20,8 @@
 	maxSkippedBytes = 1 << 20
 	// maxJoinedBody bounds the body that is written together with the head: a larger one is not copied.
 	maxJoinedBody = 64 << 10
+	// maxStatus is the largest status that an answer may have.
+	maxStatus = 599
 	// headSizeHint is the initial buffer capacity for the head of a request.
 	headSizeHint = 1 << 10
 )
@@ -67,7 +69,7 @@
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Answer, error) {
 	head, body := req.encode()
 	for {
-		c := p.takeIdle(address, req.UsedConns)
+		c := p.takeIdle(ctx, address, req.UsedConns)
 		if c == nil {
 			var err error
 			if c, err = p.dial(ctx, address); err != nil {
@@ -116,6 +118,9 @@
 		if err != nil {
 			return fail(err)
 		}
+		if !isAnswerLine(resp) {
+			return fail(&ErrBadStatusLine{Proto: resp.Proto, Status: resp.Status})
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -134,6 +139,11 @@
 	return fail(mismatch)
 }
 
+// isAnswerLine reports whether the first line of an answer has a version and a status that HTTP/1 knows; net/http reads any three characters that make a number.
+func isAnswerLine(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode <= maxStatus
+}
+
 // encode returns the request in HTTP/1.1 wire format: the head with a short body, and the rest.
 func (r *Request) encode() (head, rest []byte) {
 	var out bytes.Buffer
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,6 +55,8 @@
 	CountDial func(outcome tcp.DialOutcome)
 	// IsUsable reports whether an open connection to a server may be used for a further request; nil means always.
 	IsUsable func(conn net.Conn, address string) bool
+	// MayCarry reports whether an open connection may carry the request of a context; nil means always.
+	MayCarry func(ctx context.Context, conn net.Conn) bool
 	// CheckPath is called when a kept connection has been silent for unusually long since a request was sent on it; nil does nothing.
 	CheckPath func(address string)
 }
@@ -90,6 +92,9 @@
 	if opts.IsUsable == nil {
 		opts.IsUsable = func(net.Conn, string) bool { return true }
 	}
+	if opts.MayCarry == nil {
+		opts.MayCarry = func(context.Context, net.Conn) bool { return true }
+	}
 	if opts.CheckPath == nil {
 		opts.CheckPath = func(string) {}
 	}
@@ -118,13 +123,13 @@
 }
 
 // takeIdle removes a usable idle connection, other than those of used, from the pool and returns it, or nil if there is none.
-func (p *Pool) takeIdle(address string, used []ConnID) *conn {
+func (p *Pool) takeIdle(ctx context.Context, address string, used []ConnID) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
 		kept := p.idle[address]
 		i := len(kept) - 1
-		for i >= 0 && (slices.Contains(used, kept[i].id) || !p.opts.IsUsable(kept[i].Conn, address)) {
+		for i >= 0 && (slices.Contains(used, kept[i].id) || !p.opts.IsUsable(kept[i].Conn, address) || !p.opts.MayCarry(ctx, kept[i].Conn)) {
 			i--
 		}
 		if i < 0 {
