--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -132,6 +132,18 @@
 	qt.Assert(t, set.ForService("models"), qt.HasLen, 1)
 }
 
+// TestLateReportOfLeavingServerIsKept checks that a server that reports its end in an answer after its entry is gone stays out of service when the entry
+// is back.
+func TestLateReportOfLeavingServerIsKept(t *testing.T) {
+	set := backend.NewSet(backend.Locality{})
+	set.Replace([]backend.Server{server("a", "1", 1)})
+	tracked := findServer(t, set, "a")
+	set.Replace(nil)
+	tracked.RecordReport(selfreport.Report{IsLeaving: true}, selfreport.Share{}, start, start)
+	set.Replace([]backend.Server{server("a", "1", 1)})
+	qt.Assert(t, set.ForService("models"), qt.HasLen, 0)
+}
+
 // TestSlownessOfSlowServer checks that a server that takes three times as long for answers of the same kind gets a higher slowness.
 func TestSlownessOfSlowServer(t *testing.T) {
 	set := backend.NewSet(backend.Locality{})
--- a/internal/backend/member.go
+++ b/internal/backend/member.go
@@ -155,6 +155,13 @@
 	}
 }
 
+// forgetPromptParts forgets which parts of prompts the server has cached.
+func (s *TrackedServer) forgetPromptParts() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.partLastUsed)
+}
+
 // CachedPromptParts returns the number of leading parts of a prompt that the server has probably cached.
 func (s *TrackedServer) CachedPromptParts(keys []string, now time.Time) int {
 	s.mu.Lock()
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -29,18 +29,19 @@
 	evacuated map[api.FailureDomain]bool
 	// hasServers is set once the entries were replaced by some. From then on a server without an earlier entry has just started.
 	hasServers bool
-	// departed holds the reports of servers without an entry, the longest departed first; at most maxDeparted.
+	// departed holds servers without an entry, the longest departed first; at most maxDeparted.
 	departed []departedServer
 	// paces holds the moving average of the pace (latency relative to size) of each kind of answer.
 	paces map[string]float64
 }
 
-// departedServer keeps what one start of a server has reported after its entry is gone. The entry of a server that lives on comes back.
+// departedServer keeps the state of one start of a server after its entry is gone, to which requests that are still running add. The entry of a server
+// that lives on comes back.
 type departedServer struct {
-	id       api.ServerID
-	start    int64
-	address  string
-	reported selfreport.State
+	id      api.ServerID
+	start   int64
+	address string
+	state   *serverState
 }
 
 // maxDeparted bounds the servers whose reports are kept without an entry.
@@ -66,9 +67,8 @@
 		tracked, ok := s.servers[server.ID]
 		switch {
 		case !ok || tracked.Start != server.Start || tracked.Address != server.Address:
-			tracked = newTrackedServer(server, s.loadOf(server.Service))
 			var isBack bool
-			tracked.reported, isBack = s.takeDeparted(server)
+			tracked, isBack = s.trackNew(server)
 			tracked.MarkCold(s.coldTime(server, isBack || !s.hasServers), now)
 		case tracked.Server != server:
 			tracked = &TrackedServer{Server: server, serverState: tracked.serverState}
@@ -85,7 +85,8 @@
 			freed = append(freed, old.Address)
 		}
 		if _, ok := next[old.ID]; !ok && old.Start != 0 {
-			s.departed = append(s.departed, departedServer{id: old.ID, start: old.Start, address: old.Address, reported: old.reports()})
+			old.forgetPromptParts()
+			s.departed = append(s.departed, departedServer{id: old.ID, start: old.Start, address: old.Address, state: old.serverState})
 		}
 	}
 	s.departed = s.departed[max(0, len(s.departed)-maxDeparted):]
@@ -120,16 +121,19 @@
 	s.services = pools
 }
 
-// takeDeparted returns what a server whose entry is back has reported, and forgets it here. Without a start time an entry that is back can't
+// trackNew returns a server of which there was no entry, with its state before if the entry is back. Without a start time an entry that is back can't
 // be told from that of a new start. The caller holds s.mu.
-func (s *Set) takeDeparted(server Server) (reported selfreport.State, isBack bool) {
-	for i, old := range s.departed {
-		if old.id == server.ID && old.start == server.Start && old.address == server.Address {
-			s.departed = slices.Delete(s.departed, i, i+1)
-			return old.reported, true
-		}
+func (s *Set) trackNew(server Server) (tracked *TrackedServer, isBack bool) {
+	tracked = newTrackedServer(server, s.loadOf(server.Service))
+	i := slices.IndexFunc(s.departed, func(old departedServer) bool {
+		return old.id == server.ID && old.start == server.Start && old.address == server.Address && old.state.service == tracked.service
+	})
+	if i < 0 {
+		return tracked, false
 	}
-	return selfreport.State{}, false
+	tracked.serverState = s.departed[i].state
+	s.departed = slices.Delete(s.departed, i, i+1)
+	return tracked, true
 }
 
 // loadOf returns the load of a service; the caller holds s.mu.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -37,6 +37,8 @@
 	callerIP = "10.100.0.1"
 	// startTime is the time in which nodes read the store and find each other.
 	startTime = 3 * time.Second
+	// callerIdleTimeout is how long callers use an idle connection: four fifths of what the operator allows.
+	callerIdleTimeout = 12 * time.Second
 	// crashDowntime is how long a model server is down after a crash.
 	crashDowntime = 300 * time.Millisecond
 )
@@ -150,6 +152,7 @@
 		f.start("10.0.0.1")
 		f.start("10.0.0.2")
 		transport := tcp.NewTransport(f.network.Host(callerIP))
+		transport.IdleConnTimeout = callerIdleTimeout
 		f.client = &http.Client{Transport: transport}
 		time.Sleep(startTime)
 		test(f)
