--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export RAPID_SEED ?= 1
 export RAPID_NOFAILFILE ?= true
 
-.PHONY: build test race soak sites lint fmt fmt-check generate promises
+.PHONY: build test race soak crowds sites lint fmt fmt-check generate promises
 
 build:
 	$(GO) build -o bin/monsoonrail ./cmd/monsoonrail
@@ -24,6 +24,10 @@
 soak:
 	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^Test(Edge)?Soak$$' -v
 
+# crowds lets clients that keep no limits loose on a node's process, apart from other load.
+crowds:
+	UNTRUSTED_CALLERS=1 $(GO) test -count=1 ./internal/cmd -run '^TestUntrustedCallers$$' -v
+
 # sites plays days on drawn sites in virtual time, eight at a time; SITE_SEED is the first seed, SITE_SEEDS their number.
 SITE_SEED ?= 1000
 SITE_SEEDS ?= 40
--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -41,6 +41,9 @@
 	// ordinaryTries bounds how often the ordinary caller connects anew.
 	ordinaryTries = 40
 
+	// untrustedCallersEnv has to be set for the crowds, since the process must not share its machine with other tests.
+	untrustedCallersEnv = "UNTRUSTED_CALLERS"
+
 	crowdSettings = `nodeName = "edge-a-1"
 zone = "a"
 ip = "%[1]s"
@@ -178,6 +181,9 @@
 // TestUntrustedCallers lets a crowd of clients that nobody controls loose on a node's process: the process lives within its memory and descriptors, and an
 // ordinary request is answered.
 func TestUntrustedCallers(t *testing.T) {
+	if os.Getenv(untrustedCallersEnv) == "" {
+		t.Skipf("make crowds runs it apart from other tests, and sets %s", untrustedCallersEnv)
+	}
 	for _, test := range crowdCases() {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -14,7 +14,7 @@
 	// head holds the part of a head that has been read until the rest of it is; only the goroutine that reads uses it.
 	head head
 
-	// queue is the one that holds the connection at place; nil while it has a request.
+	// queue is the one that holds the connection at place; nil while it has a request, unless its client sends on.
 	queue *list.List
 	place *list.Element
 	// waitsFrom is when the connection was opened, its last request ended or the first byte of a further one arrived.
@@ -24,8 +24,8 @@
 	bytes     int64
 	// isHandedOver means that the server has got the head, or a part of one that it refuses.
 	isHandedOver bool
-	// isEnded means that no request is served any more, isForgotten that the connection counts no more.
-	isEnded, isForgotten bool
+	// isEnded means that no request is served any more, isForgotten that the connection counts no more, isCutOff that it ended while a request ran.
+	isEnded, isForgotten, isCutOff bool
 }
 
 // Read implements net.Conn. It returns nothing of a head before the end of it has arrived, since the server makes fields, which take many times its memory,
@@ -48,8 +48,7 @@
 				c.listener.opts.Count(cause)
 				c.part(cause)
 			}
-			// The server closes the connection without an answer of its own after an error of this type.
-			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+			return 0, c.closedError()
 		}
 		if fields == nil {
 			c.head.hold(to[:n])
@@ -63,16 +62,33 @@
 		return c.head.handOver(p), nil
 	}
 	n, err := c.Conn.Read(p)
+	if n == 1 && len(p) == 1 && !c.listener.sendsAhead(c) {
+		// While a request runs whose body has been read, the server waits for a byte only, since its client may leave.
+		c.listener.opts.Count(NoRoom)
+		c.reset()
+		return 0, c.closedError()
+	}
 	if cause, ok := c.listener.grow(c, n, p[:n]); !ok {
 		if cause != "" {
 			c.listener.opts.Count(cause)
 			c.part(cause)
 		}
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		return 0, c.closedError()
 	}
 	return n, err
 }
 
+// closedError returns the error of a read after which the server closes the connection without an answer of its own.
+func (c *conn) closedError() error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+}
+
+// reset closes the connection so that its client can't take a part of an answer for the whole.
+func (c *conn) reset() {
+	_ = c.SetLinger(0)
+	_ = c.Conn.Close()
+}
+
 // part refuses the request whose head is being read, and takes some of what is still on its way: unread bytes would reset the connection, and the refusal
 // with it.
 func (c *conn) part(cause Cause) {
@@ -88,6 +104,10 @@
 
 // refuseAndClose refuses the request whose head was being read, if there was one, and closes the connection.
 func (c *conn) refuseAndClose(refusal string) {
+	if c.isCutOff {
+		c.reset()
+		return
+	}
 	if c.headBytes > 0 {
 		refuse(c.Conn, refusal, shortTime)
 	}
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -22,6 +22,8 @@
 	// headByteFactor is the memory that a byte of a head takes in a buffer, and again in its fields, headLineBytes that of a field beside its text.
 	headByteFactor = 2
 	headLineBytes  = 400
+	// aheadBytes is what a connection takes in addition whose client sends on before its request is answered: bytes that have arrived and are not read.
+	aheadBytes = 64 << 10
 	// bufferBytes is the size of the server's read buffer, by which a read may go beyond a head.
 	bufferBytes = 4 << 10
 	// standstill is added to the clients' time limits, since a node may stand still for a moment itself.
@@ -70,7 +72,8 @@
 }
 
 // Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState, and its handler wrapped by Handler. When
-// a bound is reached, the connection that has waited longest without a request is closed first, and one that never had a request before one that had.
+// a bound is reached, the connection that has waited longest without a request is closed first, and one that never had a request before one that had. Between
+// the two come those whose clients send on before their requests are answered.
 type Listener struct {
 	net.Listener
 	opts Options
@@ -78,13 +81,14 @@
 	mu    sync.Mutex
 	conns int
 	bytes int64
-	// unproven and idle hold the connections without a request, of which the latter have had one; those that have waited longest come first.
-	unproven, idle *list.List
+	// unproven and idle hold the connections without a request, of which the latter have had one, and ahead those whose clients send on before their requests are
+	// answered; those that have waited longest come first.
+	unproven, ahead, idle *list.List
 }
 
 // New returns a listener that wraps another one.
 func New(opts Options) *Listener {
-	return &Listener{Listener: opts.Listener, opts: opts, unproven: list.New(), idle: list.New()}
+	return &Listener{Listener: opts.Listener, opts: opts, unproven: list.New(), ahead: list.New(), idle: list.New()}
 }
 
 // Accept implements net.Listener.
@@ -107,15 +111,7 @@
 // add makes room for a connection, and reports false if there is none.
 func (l *Listener) add(c *conn) bool {
 	l.mu.Lock()
-	var ended []*conn
-	for l.conns >= l.opts.MaxConns || l.bytes+connBytes > l.opts.MaxBytes {
-		victim := l.longestWaiting(nil)
-		if victim == nil {
-			break
-		}
-		l.end(victim)
-		ended = append(ended, victim)
-	}
+	ended := l.makeRoom(1, connBytes, nil)
 	hasRoom := l.conns < l.opts.MaxConns && l.bytes+connBytes <= l.opts.MaxBytes
 	if hasRoom {
 		l.conns++
@@ -133,14 +129,35 @@
 func (l *Listener) isReadingHead(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return c.queue != nil && !c.isHandedOver
+	return c.queue != nil && c.queue != l.ahead && !c.isHandedOver
+}
+
+// sendsAhead counts what a client sends on before its request is answered. It returns false if the connection has to end for that.
+func (l *Listener) sendsAhead(c *conn) bool {
+	l.mu.Lock()
+	if c.isEnded || c.queue != nil {
+		defer l.mu.Unlock()
+		return !c.isEnded
+	}
+	c.place, c.queue = l.ahead.PushBack(c), l.ahead
+	ended := l.makeRoom(0, aheadBytes, c)
+	hasRoom := l.bytes+aheadBytes <= l.opts.MaxBytes
+	if hasRoom {
+		c.bytes += aheadBytes
+		l.bytes += aheadBytes
+	} else {
+		l.end(c)
+	}
+	l.mu.Unlock()
+	l.closeForRoom(ended)
+	return hasRoom
 }
 
 // grow counts bytes that were read, if they are those of a head, and the memory of the fields that the server makes of some; nil means of none yet. Other connections
 // may have to be closed for it. It returns false if the connection has ended, or has to for a cause.
 func (l *Listener) grow(c *conn, read int, fields []byte) (Cause, bool) {
 	l.mu.Lock()
-	if c.isEnded || c.queue == nil {
+	if c.isEnded || c.queue == nil || c.queue == l.ahead {
 		defer l.mu.Unlock()
 		return "", !c.isEnded
 	}
@@ -166,15 +183,7 @@
 		c.isHandedOver = true
 		wanted += int64(headByteFactor*len(fields) + headLineBytes*bytes.Count(fields, []byte{'\n'}))
 	}
-	var ended []*conn
-	for l.bytes+wanted > l.opts.MaxBytes {
-		victim := l.longestWaiting(c)
-		if victim == nil {
-			break
-		}
-		l.end(victim)
-		ended = append(ended, victim)
-	}
+	ended := l.makeRoom(0, wanted, c)
 	hasRoom := l.bytes+wanted <= l.opts.MaxBytes
 	if hasRoom {
 		c.bytes += wanted
@@ -187,9 +196,23 @@
 	return NoRoom, hasRoom
 }
 
+// makeRoom ends connections other than the given one until there is room for further connections and bytes, or there are no more to end. It returns those
+// that have ended, which must be closed.
+func (l *Listener) makeRoom(conns int, memory int64, except *conn) (ended []*conn) {
+	for l.conns+conns > l.opts.MaxConns || l.bytes+memory > l.opts.MaxBytes {
+		victim := l.longestWaiting(except)
+		if victim == nil {
+			break
+		}
+		l.end(victim)
+		ended = append(ended, victim)
+	}
+	return ended
+}
+
 // longestWaiting returns the connection to close first; nil if there is none but the given one.
 func (l *Listener) longestWaiting(except *conn) *conn {
-	for _, queue := range []*list.List{l.unproven, l.idle} {
+	for _, queue := range []*list.List{l.unproven, l.ahead, l.idle} {
 		for e := queue.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*conn); c != except {
 				return c
@@ -201,7 +224,7 @@
 
 // end takes a connection out of all counts. It must be closed afterwards; no request of it is served any more.
 func (l *Listener) end(c *conn) {
-	c.isEnded = true
+	c.isEnded, c.isCutOff = true, c.queue == l.ahead
 	l.leaveQueue(c)
 	l.forget(c)
 }
@@ -238,7 +261,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
-	case http.StateActive:
+	case http.StateActive, http.StateHijacked:
 		l.leaveQueue(c)
 	case http.StateIdle:
 		if c.isForgotten {
--- a/internal/connguard/listener_test.go
+++ b/internal/connguard/listener_test.go
@@ -254,6 +254,34 @@
 	})
 }
 
+// TestClientsThatSendOnMakeRoom fills the memory of connections while a client sends on before its request is answered: it is cut off before one that has
+// been idle, and gets no answer that looks whole.
+func TestClientsThatSendOnMakeRoom(t *testing.T) {
+	const connBytes, aheadBytes, headBytes = 32 << 10, 64 << 10, 4 << 10
+	withGuarded(t, 100, 3*connBytes+aheadBytes+headBytes, func(g *guarded) {
+		greedy, idle := g.dial(), g.dial()
+		idle.send(get("/1"))
+		_, _ = idle.answer()
+		greedy.send(get("/wait"))
+		synctest.Wait()
+		greedy.send(get("/2") + get("/3"))
+		synctest.Wait()
+		_, memory := g.listener.Usage()
+		g.c.Check(memory >= 2*connBytes+aheadBytes, qt.IsTrue, qt.Commentf("%d bytes", memory))
+		for range 2 {
+			g.dial().send(get("/wait-too"))
+			synctest.Wait()
+		}
+		close(g.release)
+		status, _ := greedy.answer()
+		g.c.Check(status, qt.Equals, 0)
+		g.c.Check(idle.isClosed(), qt.IsFalse)
+		synctest.Wait()
+		g.c.Check(g.served, qt.DeepEquals, []string{"/1", "/wait", "/wait-too", "/wait-too"})
+		g.c.Check(g.closed, qt.DeepEquals, map[connguard.Cause]int{connguard.MadeRoom: 1})
+	})
+}
+
 // TestHeadsStayWithinTheirMemory sends parts of heads on more connections than their memory is for: a whole request is answered afterwards, and once all have ended
 // nothing stays counted.
 func TestHeadsStayWithinTheirMemory(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,8 @@
 	// memoryLimitShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the
 	// garbage collector runs more often.
 	memoryLimitShare = 0.6
+	// nonHeapMemory is what the process has on top: the pages of the program, and what the kernel holds for its connections.
+	nonHeapMemory = 32 << 20
 	// answerMemoryShare is the share of the machine's memory that the parts of servers' answers take together which are held until they are forwarded, and
 	// defaultAnswerMemory their bound if that memory is unknown.
 	answerMemoryShare   = 0.2
@@ -241,7 +243,7 @@
 // Run serves until ctx ends, and then shuts down gracefully within the grace period.
 func (n *Node) Run(ctx context.Context) error {
 	if limit := n.opts.Settings.Resources.MemoryBytes; limit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
+		debug.SetMemoryLimit(min(int64(memoryLimitShare*float64(limit)), max(limit-nonHeapMemory, limit/2)))
 	}
 	n.log.WithFields(log.Fields{
 		"node": string(n.opts.Settings.Node), "failure_domain": string(n.opts.Settings.FailureDomain),
