Mend what the reviews of the exchange and of reading at size found

Each with what the reviewer showed: - A request with a false token count stopped the exchange of the whole fleet and drew requests to one server: tokens are bounded by a server's memory, and sums by what a frame holds. - Paces of most servers were never told, and one that was told stayed. They wait in turn now, and are forgotten. - A second aggregator's first sums lacked the other failure domains. - A change that another one offset was never told to its source. - Changes after a lag were ignored as older than what they replaced. - Memory grew with each start of a server. - Nodes share no work while nodes of an earlier release run. - Two tests of the exchange passed without any exchange. - Readers that had vanished held large answers of a relay; lists were packed again for each reader; a difference to an empty store lost its mark; a node without a confirmed copy confirmed that of its readers; nodes without relays polled once more after each change of the list. - Pools within regions were built under the lock of all servers, and each rejection looked through all servers for evacuated ones.

--- a/internal/backend/evacuation.go
+++ b/internal/backend/evacuation.go
@@ -41,15 +41,7 @@
 func (s *Set) HasEvacuated(service route.Service) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if len(s.evacuated) == 0 {
-		return false
-	}
-	for _, server := range s.servers {
-		if server.Service == service && s.evacuated[server.FailureDomain] {
-			return true
-		}
-	}
-	return false
+	return s.hasEvacuated[service]
 }
 
 // SetWarmUps sets how the servers of each service warm up. Services that are missing have no warm-up.
--- a/internal/backend/regions.go
+++ b/internal/backend/regions.go
@@ -43,9 +43,7 @@
 
 // PoolWithin is like Pool, of the servers in the regions of a set.
 func (s *Set) PoolWithin(service route.Service, regions region.Set) *Pool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if pools, ok := s.services[service]; ok {
+	if pools, ok := s.poolsOf(service); ok {
 		return pools.within(regions, s.at).all
 	}
 	return emptyPool
@@ -53,10 +51,15 @@
 
 // PoolOfWithin is like PoolOf, of the servers in the regions of a set.
 func (s *Set) PoolOfWithin(service route.Service, version route.ServiceVersion, isOther bool, regions region.Set) *Pool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if pools, ok := s.services[service]; ok {
+	if pools, ok := s.poolsOf(service); ok {
 		return pools.within(regions, s.at).ofVersion(version, isOther)
 	}
 	return emptyPool
 }
+
+func (s *Set) poolsOf(service route.Service) (pools *servicePools, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	pools, ok = s.services[service]
+	return pools, ok
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -27,6 +27,8 @@
 	loads map[route.Service]*ServiceLoad
 	// evacuated holds the failure domains whose servers take no requests.
 	evacuated map[api.FailureDomain]bool
+	// hasEvacuated holds the services with servers in these domains.
+	hasEvacuated map[route.Service]bool
 	// hasServers is set once the entries were replaced by some. From then on a server without an earlier entry has just started.
 	hasServers bool
 	// departed holds servers without an entry, the longest departed first; at most maxDeparted.
@@ -108,7 +110,11 @@
 // rebuildPools rebuilds the pools from the servers in service; the caller holds s.mu.
 func (s *Set) rebuildPools() {
 	services := make(map[route.Service][]*TrackedServer)
+	s.hasEvacuated = make(map[route.Service]bool)
 	for _, tracked := range s.servers {
+		if s.evacuated[tracked.FailureDomain] {
+			s.hasEvacuated[tracked.Service] = true
+		}
 		if !tracked.IsOutOfService() && !s.evacuated[tracked.FailureDomain] {
 			services[tracked.Service] = append(services[tracked.Service], tracked)
 		}
--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/backend"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
+	"github.com/monsoonrail/monsoonrail/internal/nodelist"
 	"github.com/monsoonrail/monsoonrail/internal/workload"
 	"github.com/monsoonrail/monsoonrail/internal/workshare"
 )
@@ -24,7 +26,9 @@
 // sharesWork reports whether nodes tell each other of their work now: servers of engines are worth it if many nodes send them requests.
 func (n *Node) sharesWork() bool {
 	table := n.activeConfig.Current()
-	if table == nil || n.countRecentNodes() < minNodesSharingWork {
+	isOlder := func(node nodelist.Node) bool { return !node.SharesWork }
+	if table == nil || n.countRecentNodes() < minNodesSharingWork || slices.ContainsFunc(*n.nodes.Load(), isOlder) {
+		// The sums lack the work of nodes of an earlier release, which the servers' own reports hold.
 		return false
 	}
 	for _, service := range table.Config.Services {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -27,6 +27,8 @@
 	// the same for services without models.
 	tokensPerKilobyte    = 80
 	plainWorkPerKilobyte = plainWork * 16 / 100
+	// maxPromptTokens is the size above which a prompt isn't believed where the memory of the servers isn't known.
+	maxPromptTokens = 1 << 20
 	// plainWork is the work of a request to a service without models.
 	plainWork = workload.Work(50 * time.Millisecond)
 )
@@ -69,7 +71,7 @@
 		for _, part := range d.Parts[:cached] {
 			unreadTokens[i] -= part.Tokens
 		}
-		unreadTokens[i] = max(0, unreadTokens[i])
+		unreadTokens[i] = min(max(0, unreadTokens[i]), largestPrompt(d.service.Engine))
 		candidates[i].Unread = workload.Work(tokenWork * float64(unreadTokens[i]))
 	}
 	request := placement.Request{
@@ -105,6 +107,14 @@
 	return chosen, nil
 }
 
+// largestPrompt returns the number of tokens of the largest prompt that a server can read; callers may claim any number.
+func largestPrompt(engine *route.Engine) int {
+	if engine == nil || engine.CacheTokens <= 0 {
+		return maxPromptTokens
+	}
+	return engine.CacheTokens
+}
+
 // askedModel returns the model that is to answer: the node's choice or the caller's.
 func (d *dispatcher) askedModel() route.Model {
 	if d.model != "" {
@@ -119,6 +129,8 @@
 	rejected := retryLater(reasonNoServer)
 	switch {
 	case len(servers) > 0:
+	case d.regions().IsRestricted() && d.g.opts.Backends.Pool(d.service.Name).HasPresent():
+		rejected.reason = reasonRegions
 	case d.g.opts.Backends.HasEvacuated(d.service.Name):
 		rejected.reason = reasonEvacuated
 	case d.regions().IsRestricted():
--- a/internal/mirror/serve.go
+++ b/internal/mirror/serve.go
@@ -91,7 +91,7 @@
 // checkFresh returns kv.ErrUnavailable if the copy must not be served to other nodes; m.mu is held.
 func (m *Mirror) checkFresh() error {
 	switch silence := time.Since(m.lastAnswer); {
-	case m.revision == 0:
+	case m.revision == 0 || m.confirmedAt == 0:
 		return kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrIncomplete{}})
 	case silence >= maxServeSilence:
 		return kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrSilent{Silence: silence}})
--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -21,7 +21,10 @@
 // packKey identifies the events of an answer.
 type packKey struct {
 	after, revision kv.Version
-	// isShared is set for retained changes. Lists and differences aren't determined by the revision: missing keys are removed without a change.
+	// path is the call's, and count the number of events: missing keys are removed from lists without another revision.
+	path  string
+	count int
+	// isShared is set for what several readers get alike: lists and retained changes.
 	isShared bool
 }
 
@@ -53,8 +56,10 @@
 		_ = encoder.Encode(packed)
 	}
 	_ = w.Close()
-	p.key, p.data = key, out.Bytes()
-	return p.data
+	if key.isShared {
+		p.key, p.data = key, out.Bytes()
+	}
+	return out.Bytes()
 }
 
 func unpack(data []byte) (events []kv.Event, err error) {
--- a/internal/relay/pack_test.go
+++ b/internal/relay/pack_test.go
@@ -65,3 +65,14 @@
 	defer resp.Body.Close()
 	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusGone)
 }
+
+// TestDifferenceOfAnEmptyStore relays the difference to a store without keys, by which a reader deletes all of its own.
+func TestDifferenceOfAnEmptyStore(t *testing.T) {
+	m := &mirror{
+		err:        kv.Error.Wrap(&kv.ErrCompacted{Oldest: 5}),
+		difference: &kv.WatchBatch{Revision: 101, KeyHashes: []uint64{}},
+	}
+	batch, err := client(t, m).Poll(context.Background(), "", 3, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, batch.KeyHashes, qt.IsNotNil)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,7 +74,7 @@
 	// SinceOutage is 0 if there was no recent outage.
 	SinceOutage time.Duration `json:",omitempty"`
 	// KeyHashes holds kv.WatchBatch.KeyHashes, eight bytes each in big-endian order.
-	KeyHashes []byte `json:",omitempty"`
+	KeyHashes []byte `json:",omitzero"`
 }
 
 // size returns the size of the encoded values in bytes.
@@ -134,7 +134,7 @@
 			}
 			events, answer, err := read(req.Context(), request)
 			if err == nil && request.AcceptPacked && sizeOf(events) >= minDeflateBytes && len(events) > 1 {
-				key := packKey{after: request.After, revision: answer.Revision, isShared: path == pathPoll && answer.KeyHashes == nil}
+				key := packKey{path: path, after: request.After, revision: answer.Revision, count: len(events), isShared: answer.KeyHashes == nil}
 				answer.Packed = packed.pack(key, events)
 				events = nil
 			}
@@ -145,6 +145,13 @@
 				select {
 				case held <- struct{}{}:
 					defer func() { <-held }()
+					// A reader that has vanished must not hold the answer; the connection is used for further calls.
+					control := http.NewResponseController(w)
+					_ = control.SetWriteDeadline(time.Now().Add(maxTransfer))
+					defer func() {
+						_ = control.Flush()
+						_ = control.SetWriteDeadline(time.Time{})
+					}()
 				default:
 					count(ServedNothing, 0)
 					w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -141,7 +141,7 @@
 	}
 	if nodes := s.opts.Nodes(); s.plan == nil || nodes != s.plannedNodes {
 		knewNodes := slices.ContainsFunc(s.plan, func(p Path) bool { return p.Via != nil })
-		if s.setPlan(nodes); !knewNodes {
+		if s.setPlan(nodes); !knewNodes && len(s.plan) > 1 {
 			// The failures were the store's, before the node knew of others.
 			s.failures, s.isUntried = 0, true
 		}
--- a/internal/workshare/digest.go
+++ b/internal/workshare/digest.go
@@ -57,11 +57,22 @@
 	}
 }
 
+// move records that a source's part of a server's sum changed.
+func (d *digest) move(n name) {
+	waits := d.due[n]
+	waits.isMoved = true
+	d.due[n] = waits
+}
+
 // waitsFor returns the number of turns at an interval that notable changes wait at most if there is room.
 func waitsFor(interval time.Duration) int { return int(maxWait / interval) }
 
-// waiting holds the numbers of turns for which a server is due, and for which it has had a notable change.
-type waiting struct{ any, notable int }
+// waiting holds the numbers of turns for which a server is due, for which it has had a notable change, and for which its pace has been another than told.
+type waiting struct {
+	any, notable, pace int
+	// isMoved means that a source's part of the sum changed: that source must learn the sum anew, also if the sum is what it was.
+	isMoved bool
+}
 
 // change is a server that is due.
 type change struct {
@@ -78,6 +89,14 @@
 	return c.waits.notable
 }
 
+// missedPaces returns the number of turns for which the pace waits if there was no room for it when paces were last told.
+func (c change) missedPaces() int {
+	if !c.entry.hasPace || c.waits.pace <= paceWait {
+		return 0
+	}
+	return c.waits.pace
+}
+
 // next returns what to tell within a number of bytes, those that wait for long and then the largest changes first, and counts it as told.
 func (d *digest) next(current func(name) row, bytes int, now time.Time) []entry {
 	d.turn++
@@ -86,8 +105,14 @@
 	for n, waits := range d.due {
 		row, told := current(n), d.told[n]
 		size := sizeOf(row, told, now)
+		if waits.isMoved {
+			size = max(size, 1)
+		}
 		hasNewPace := !row.amounts.hasPaceOf(told.amounts)
 		waits.any++
+		if waits.pace++; !hasNewPace {
+			waits.pace = 0
+		}
 		if waits.notable++; float64(size) < d.notable {
 			waits.notable = 0
 		}
@@ -109,7 +134,8 @@
 	d.changes = changes
 	slices.SortFunc(changes, func(a, b change) int {
 		return cmp.Or(
-			cmp.Compare(b.overdue(d.maxWaits), a.overdue(d.maxWaits)), cmp.Compare(b.size, a.size), cmp.Compare(b.waits.any, a.waits.any), cmp.Compare(a.entry.name, b.entry.name),
+			cmp.Compare(b.overdue(d.maxWaits), a.overdue(d.maxWaits)), cmp.Compare(b.missedPaces(), a.missedPaces()), cmp.Compare(b.size, a.size),
+			cmp.Compare(b.waits.any, a.waits.any), cmp.Compare(a.entry.name, b.entry.name),
 		)
 	})
 	var entries []entry
@@ -133,11 +159,14 @@
 		if told.amounts.hasPaceOf(c.entry.row.amounts) {
 			delete(d.due, c.entry.name)
 		} else {
-			d.due[c.entry.name] = waiting{}
+			d.due[c.entry.name] = waiting{pace: c.waits.pace}
 		}
 		entries = append(entries, c.entry)
 		d.tell(c.entry.name, told, now)
 	}
+	if tellsPace {
+		d.forget(now)
+	}
 	switch {
 	case d.lag > d.maxWaits:
 		d.notable *= notableGrowth
@@ -156,6 +185,13 @@
 	d.told[n] = told
 }
 
+// forget removes the servers of which the receivers know nothing any more.
+func (d *digest) forget(now time.Time) {
+	for n, told := range d.told {
+		d.tell(n, told, now)
+	}
+}
+
 // full returns all that the receivers know, for one that joins them.
 func (d *digest) full(now time.Time) []entry {
 	entries := make([]entry, 0, len(d.told))
--- a/internal/workshare/exchange.go
+++ b/internal/workshare/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -122,6 +123,8 @@
 	plannedFor  *[]nodelist.Node
 	// choices holds which aggregator of each other failure domain is used.
 	choices map[api.FailureDomain]choice
+	// servesSince is when this node began to take other failure domains' sums; zero while it doesn't.
+	servesSince time.Time
 	// hearsFrom is the aggregator whose sums are used; empty if there is none. heardAt is when they came.
 	hearsFrom api.NodeID
 	heardAt   time.Time
@@ -249,6 +252,11 @@
 			}
 		}
 	})
+	e.ledger.moved = func(n name) {
+		if d := e.digests[scopeFleet]; d != nil {
+			d.move(n)
+		}
+	}
 	e.digests = [scopes]*digest{}
 	e.choices = make(map[api.FailureDomain]choice)
 	e.accepted, e.links = make(map[*acceptedConn]bool), make(map[api.NodeID]*link)
@@ -373,7 +381,7 @@
 				receivers = append(receivers, c)
 			}
 		}
-		if len(receivers) == 0 {
+		if len(receivers) == 0 || of == scopeFleet && !e.hasFleet(now) {
 			e.digests[of] = nil
 			continue
 		}
@@ -415,6 +423,19 @@
 	}
 }
 
+// hasFleet reports whether the sums over all nodes hold all failure domains, or have waited for them; the caller holds e.mu.
+func (e *Exchange) hasFleet(now time.Time) bool {
+	if now.Sub(e.servesSince) >= maxSilence {
+		return true
+	}
+	for domain := range e.planned.others {
+		if _, ok := e.ledger.parts[source{domain: domain}]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // newDigest returns a digest that counts all sums as told, since its first receiver gets them at once; the caller holds e.mu.
 func (e *Exchange) newDigest(of scope, now time.Time) *digest {
 	d := newDigest(0, 0)
@@ -434,7 +455,12 @@
 		e.refreshedAt = now
 	}
 	if e.hearsFrom == e.opts.Self {
-		e.heardAt = now.Add(-e.ledger.lag())
+		if !e.hasFleet(now) {
+			return
+		}
+		if asOf := now.Add(-e.ledger.lag()); asOf.After(e.heardAt) {
+			e.heardAt = asOf
+		}
 		for n, server := range e.servers {
 			if isRefresh || e.changed[n] {
 				e.opts.Servers.HearPeers(server, e.othersAt(n).peers(e.heardAt))
@@ -448,6 +474,7 @@
 	}
 	e.heardAt = l.asOf
 	if isRefresh {
+		maps.DeleteFunc(l.others, func(_ name, r row) bool { return r.amounts == (amounts{}) && !r.slowdown.isCurrent(now) })
 		for n, server := range e.servers {
 			e.opts.Servers.HearPeers(server, l.others[n].peers(l.asOf))
 		}
@@ -483,6 +510,12 @@
 	for c := range e.accepted {
 		servesFleet = servesFleet || c.wants == scopeFleet
 	}
+	switch {
+	case !servesFleet:
+		e.servesSince = time.Time{}
+	case e.servesSince.IsZero():
+		e.servesSince = now
+	}
 	if servesFleet {
 		for domain, aggregators := range e.planned.others {
 			node := e.choose(domain, aggregators, now)
--- a/internal/workshare/exchange_test.go
+++ b/internal/workshare/exchange_test.go
@@ -314,7 +314,8 @@
 func TestUnknownWithoutAggregators(t *testing.T) {
 	withFleet(t, 2, 4, 5, func(f *testFleet) {
 		f.putSome(f.nodes)
-		time.Sleep(spreadTime)
+		time.Sleep(2 * spreadTime)
+		f.checkAll(f.nodes)
 		for _, other := range f.nodes[:3] {
 			f.network.Blackhole(f.nodes[3].ip(), other.ip())
 		}
--- a/internal/workshare/frame.go
+++ b/internal/workshare/frame.go
@@ -68,6 +68,9 @@
 	headBits     = 2
 )
 
+// limited returns an amount as a frame can hold it: sums may be larger.
+func limited(amount int64) uint64 { return uint64(min(max(amount, 0), maxAmount)) }
+
 // appendEntries appends the entries, which it orders by name.
 func appendEntries(b []byte, entries []entry, now time.Time) []byte {
 	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.name, b.name) })
@@ -76,7 +79,7 @@
 	for _, e := range entries {
 		b = binary.AppendUvarint(b, uint64(e.name-last))
 		last = e.name
-		head := uint64(e.row.amounts.requests) << headBits
+		head := limited(e.row.amounts.requests) << headBits
 		if e.hasPace {
 			head |= headPace
 		}
@@ -84,10 +87,10 @@
 			head |= headSlowdown
 		}
 		b = binary.AppendUvarint(b, head)
-		b = binary.AppendUvarint(b, uint64(e.row.amounts.unread))
+		b = binary.AppendUvarint(b, limited(e.row.amounts.unread))
 		if e.hasPace {
 			for _, amount := range []int64{e.row.amounts.answers, e.row.amounts.took, e.row.amounts.expected} {
-				b = binary.AppendUvarint(b, uint64(amount))
+				b = binary.AppendUvarint(b, limited(amount))
 			}
 		}
 		if head&headSlowdown != 0 {
--- a/internal/workshare/ledger.go
+++ b/internal/workshare/ledger.go
@@ -52,6 +52,8 @@
 	sums  map[name]*sum
 	// changed is called for each server whose sum changes.
 	changed func(name)
+	// moved is called for each server at which a source's requests or their work change; it may be nil.
+	moved func(name)
 }
 
 func newLedger(changed func(name)) *ledger {
@@ -118,6 +120,9 @@
 		s.domain = s.domain.plus(difference)
 	}
 	l.changed(n)
+	if l.moved != nil && (difference.requests != 0 || difference.unread != 0) {
+		l.moved(n)
+	}
 }
 
 func (l *ledger) hearSlowdown(n name, heard slowdown) {
--- a/internal/workshare/link.go
+++ b/internal/workshare/link.go
@@ -281,7 +281,10 @@
 	if f.isFull {
 		clear(l.others)
 	}
-	l.asOf = now.Add(-f.lag)
+	if asOf := now.Add(-f.lag); asOf.After(l.asOf) {
+		// Frames arrive in order: the lag of some changes must not make the others count as older than what they replace.
+		l.asOf = asOf
+	}
 	isUsed := l.e.hearsFrom == l.node.ID
 	if isUsed && !l.e.hasReceivers() {
 		l.e.nudge()
--- a/internal/workshare/traffic_test.go
+++ b/internal/workshare/traffic_test.go
@@ -74,11 +74,14 @@
 				n.mu.Lock()
 				received, remote = received+n.received, remote+n.remote
 				n.mu.Unlock()
-				age += time.Since(n.servers.peersAt(f.servers[0]).At)
+				at := n.servers.peersAt(f.servers[0]).At
+				f.c.Check(at.IsZero(), qt.IsFalse)
+				age += time.Since(at)
 			}
 			perNode := func(bytes int) float64 { return float64(bytes) / float64(len(f.nodes)) / measuredTime.Seconds() }
 			t.Logf("%d nodes, %d servers: %.0f B/s a node, %.0f B/s of them from other failure domains; known as of %s ago",
 				len(f.nodes), len(f.servers), perNode(received), perNode(remote), age/time.Duration(len(f.nodes)))
+			f.c.Check(received > 0 && remote > 0, qt.IsTrue)
 			if len(f.nodes) >= largeFleet {
 				f.c.Check(perNode(received) <= maxBytesPerSecond, qt.IsTrue)
 			} else {
