Mend what the review of connections and of the configuration's check found

- A request whose body didn't come kept its connection for good at the listeners of readiness, addresses, peers and metrics, and ordinary requests got a 503 there: it is reset now where another one needs the room.
- Heads that came together with the request before weren't counted, tunnels were twice, and a node without a memory limit had room for 409 callers.

--- a/internal/cmd/config_platform.go
+++ b/internal/cmd/config_platform.go
@@ -60,7 +60,10 @@
 
 // deployment returns what is known of the nodes and servers.
 func (o *configCheckRoutesOptions) deployment() (configcheck.Deployment, error) {
-	on := configcheck.Deployment{MaxHeaderBytes: edge.MaxHeaderBytes, Servers: make(map[route.Service]int), Regions: make(region.Map)}
+	on := configcheck.Deployment{
+		MaxHeaderBytes: edge.CeilingHeaderBytes, MaxHeadTimeout: edge.CeilingHeadTimeout, MaxIdleTimeout: edge.CeilingIdleTimeout,
+		Servers: make(map[route.Service]int), Regions: make(region.Map),
+	}
 	for service, count := range o.Servers {
 		on.Servers[route.Service(service)] = count
 	}
--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -161,6 +161,7 @@
 		{name: "chunk size without end", files: ampleFiles, send: repeat(chunkedRequest, "0")},
 		{name: "chunk extension without end", files: ampleFiles, send: repeat(chunkedRequest+"1;", "a")},
 		{name: "trailer without end", files: ampleFiles, send: repeat(chunkedRequest+"1\r\na\r\n0\r\n", "X-Trailer: a\r\n")},
+		{name: "bodies that do not come", files: ampleFiles, send: hold(requestLine + "Content-Length: 10\r\n\r\nx")},
 		{name: "unread answers and further requests", files: ampleFiles, send: unread},
 		{name: "connections without a request", files: crowdFiles, send: hold("")},
 		{name: "idle connections", files: crowdFiles, send: hold("GET / HTTP/1.1\r\nHost: app.example\r\n\r\n")},
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"io"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	// head holds the part of a head that has been read until the rest of it is; only the goroutine that reads uses it.
 	head head
 
-	// queue is the one that holds the connection at place; nil while it has a request, unless its client sends on.
+	// queue is the one that holds the connection at place; nil while it has a request, unless its body has yet to come or its client sends on.
 	queue *list.List
 	place *list.Element
 	// waitsFrom is when the connection was opened, its last request ended or the first byte of a further one arrived.
@@ -114,18 +115,50 @@
 	_ = c.Conn.Close()
 }
 
-// begin records that a request is served, and reports false if the connection has ended. The server doesn't tell its ConnState of a request that it read together
-// with the one before.
-func (c *conn) begin() bool {
-	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
+// begin records that a request is served, and reports false if the connection has ended since the server told its ConnState of the request. hasBody is set if
+// the request has a body to be read.
+func (c *conn) begin(header http.Header, hasBody bool) bool {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if c.isEnded {
 		return false
 	}
-	c.listener.leaveQueue(c)
+	l.leaveQueue(c)
+	if c.bytes == connBytes {
+		// The head came together with the request before, and wasn't counted.
+		fields := fieldBytes(header)
+		c.bytes += fields
+		l.bytes += fields
+	}
+	if hasBody {
+		c.waitsFrom = time.Now()
+		c.place, c.queue = l.unread.PushBack(c), l.unread
+	}
 	return true
 }
 
+// hasBody records that the body of the request has been read, and reports false if the connection has ended.
+func (c *conn) hasBody() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.queue == c.listener.unread {
+		c.listener.leaveQueue(c)
+	}
+	return !c.isEnded
+}
+
+// fieldBytes returns the memory that the fields of a head take.
+func fieldBytes(header http.Header) int64 {
+	total := 0
+	for key, values := range header {
+		for _, value := range values {
+			total += headByteFactor*(len(key)+len(value)) + headLineBytes
+		}
+	}
+	return int64(total)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	l := c.listener
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -73,7 +73,7 @@
 
 // Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState, and its handler wrapped by Handler. When
 // a bound is reached, the connection that has waited longest without a request is closed first, and one that never had a request before one that had. Between
-// the two come those whose clients send on before their requests are answered.
+// the two come those whose clients send on before their requests are answered, and last those whose requests' bodies don't come.
 type Listener struct {
 	net.Listener
 	opts Options
@@ -82,13 +82,13 @@
 	conns int
 	bytes int64
 	// unproven and idle hold the connections without a request, of which the latter have had one, and ahead those whose clients send on before their requests are
-	// answered; those that have waited longest come first.
-	unproven, ahead, idle *list.List
+	// answered, and unread those whose request's body has yet to come; those that have waited longest come first.
+	unproven, ahead, idle, unread *list.List
 }
 
 // New returns a listener that wraps another one.
 func New(opts Options) *Listener {
-	return &Listener{Listener: opts.Listener, opts: opts, unproven: list.New(), ahead: list.New(), idle: list.New()}
+	return &Listener{Listener: opts.Listener, opts: opts, unproven: list.New(), ahead: list.New(), idle: list.New(), unread: list.New()}
 }
 
 // Accept implements net.Listener.
@@ -129,16 +129,20 @@
 func (l *Listener) isReadingHead(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return c.queue != nil && c.queue != l.ahead && !c.isHandedOver
+	return l.waitsForHead(c) && !c.isHandedOver
 }
 
+// waitsForHead reports whether no request of a connection is served.
+func (l *Listener) waitsForHead(c *conn) bool { return c.queue == l.unproven || c.queue == l.idle }
+
 // sendsAhead counts what a client sends on before its request is answered. It returns false if the connection has to end for that.
 func (l *Listener) sendsAhead(c *conn) bool {
 	l.mu.Lock()
-	if c.isEnded || c.queue != nil {
+	if c.isEnded || c.queue != nil && c.queue != l.unread {
 		defer l.mu.Unlock()
 		return !c.isEnded
 	}
+	l.leaveQueue(c)
 	c.place, c.queue = l.ahead.PushBack(c), l.ahead
 	ended := l.makeRoom(0, aheadBytes, c)
 	hasRoom := l.bytes+aheadBytes <= l.opts.MaxBytes
@@ -157,8 +161,12 @@
 // may have to be closed for it. It returns false if the connection has ended, or has to for a cause.
 func (l *Listener) grow(c *conn, read int, fields []byte) (Cause, bool) {
 	l.mu.Lock()
-	if c.isEnded || c.queue == nil || c.queue == l.ahead {
+	if c.isEnded || c.queue == nil || !l.waitsForHead(c) {
 		defer l.mu.Unlock()
+		if c.queue == l.unread && read > 0 {
+			c.waitsFrom = time.Now()
+			l.unread.MoveToBack(c.place)
+		}
 		return "", !c.isEnded
 	}
 	if c.headBytes == 0 && c.queue == l.idle {
@@ -212,9 +220,13 @@
 
 // longestWaiting returns the connection to close first; nil if there is none but the given one.
 func (l *Listener) longestWaiting(except *conn) *conn {
-	for _, queue := range []*list.List{l.unproven, l.ahead, l.idle} {
+	for _, queue := range []*list.List{l.unproven, l.ahead, l.idle, l.unread} {
 		for e := queue.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*conn); c != except {
+			c := e.Value.(*conn)
+			if queue == l.unread && time.Since(c.waitsFrom) < standstill {
+				break
+			}
+			if c != except {
 				return c
 			}
 		}
@@ -224,7 +236,7 @@
 
 // end takes a connection out of all counts. It must be closed afterwards; no request of it is served any more.
 func (l *Listener) end(c *conn) {
-	c.isEnded, c.isCutOff = true, c.queue == l.ahead
+	c.isEnded, c.isCutOff = true, c.queue == l.ahead || c.queue == l.unread
 	l.leaveQueue(c)
 	l.forget(c)
 }
@@ -261,8 +273,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
-	case http.StateActive, http.StateHijacked:
+	case http.StateActive:
+		l.leaveQueue(c)
+	case http.StateHijacked:
+		// What tunnels hold is bounded by their number.
 		l.leaveQueue(c)
+		l.bytes -= c.bytes
+		c.bytes = 0
 	case http.StateIdle:
 		if c.isForgotten {
 			return
@@ -278,13 +295,43 @@
 // request's context that connOf returns.
 func Handler(next http.Handler, connOf func(req *http.Request) net.Conn) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if c, ok := connOf(req).(*conn); ok && !c.begin() {
+		c, ok := connOf(req).(*conn)
+		if !ok {
+			next.ServeHTTP(w, req)
+			return
+		}
+		hasBody := req.ContentLength != 0
+		if !c.begin(req.Header, hasBody) {
 			panic(http.ErrAbortHandler)
 		}
+		if hasBody {
+			// A copy, since the server looks at the type of its own request's body.
+			req = req.WithContext(req.Context())
+			req.Body = &body{ReadCloser: req.Body, conn: c}
+		}
 		next.ServeHTTP(w, req)
 	})
 }
 
+// body is the body of a request, which tells its connection when it has been read.
+type body struct {
+	io.ReadCloser
+	conn   *conn
+	isRead bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.isRead {
+		b.isRead = true
+		if !b.conn.hasBody() {
+			return 0, b.conn.closedError()
+		}
+	}
+	return n, err
+}
+
 // Sweep closes the connections that have taken too long.
 func (l *Listener) Sweep(now time.Time) {
 	limits := l.opts.Limits()
--- a/internal/connguard/listener_test.go
+++ b/internal/connguard/listener_test.go
@@ -282,6 +282,33 @@
 	})
 }
 
+// TestBodiesThatDoNotComeMakeRoom fills a listener with requests whose bodies don't come: the one whose body has paused for longest goes for another one, and
+// none whose body came a moment ago.
+func TestBodiesThatDoNotComeMakeRoom(t *testing.T) {
+	withGuarded(t, 2, ampleBytes, func(g *guarded) {
+		const head = "POST /1 HTTP/1.1\r\nHost: app.example\r\nContent-Length: 10\r\n\r\n"
+		stalled, slow := g.dial(), g.dial()
+		stalled.send(head + "x")
+		slow.send(head + "x")
+		synctest.Wait()
+		refused := g.dial()
+		status, _ := refused.answer()
+		g.c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+		time.Sleep(3 * time.Second)
+		slow.send("x")
+		synctest.Wait()
+		ordinary := g.dial()
+		ordinary.send(get("/2"))
+		status, _ = ordinary.answer()
+		g.c.Check(status, qt.Equals, http.StatusOK)
+		g.c.Check(stalled.isClosed(), qt.IsTrue)
+		slow.send("xxxxxxxx")
+		status, _ = slow.answer()
+		g.c.Check(status, qt.Equals, http.StatusOK)
+		g.c.Check(g.closed, qt.DeepEquals, map[connguard.Cause]int{connguard.MadeRoom: 1, connguard.NoRoom: 1})
+	})
+}
+
 // TestHeadsStayWithinTheirMemory sends parts of heads on more connections than their memory is for: a whole request is answered afterwards, and once all have ended
 // nothing stays counted.
 func TestHeadsStayWithinTheirMemory(t *testing.T) {
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -20,17 +20,17 @@
 	// connMemoryShare is the share of the machine's memory that connections without an admitted request and the heads of requests take, and defaultConnMemory
 	// their bound if that memory is unknown.
 	connMemoryShare   = 0.25
-	defaultConnMemory = 32 << 20
+	defaultConnMemory = defaultMaxConns * 32 << 10
 	// reservedFiles of the process's descriptors are for files; listenedShare of the others is for connections that others open, the rest for this node's own.
 	reservedFiles = 200
 	listenedShare = 0.7
 	// minGuardedConns is the least bound of a listener, defaultMaxConns that of all together if the descriptors aren't bounded.
 	minGuardedConns = 8
 	defaultMaxConns = 10_000
-	// ceilingHeadTimeout, ceilingIdleTimeout and ceilingHeaderBytes hold even if operators allow more.
-	ceilingHeadTimeout = time.Minute
-	ceilingIdleTimeout = 10 * time.Minute
-	ceilingHeaderBytes = 1 << 20
+	// CeilingHeadTimeout, CeilingIdleTimeout and CeilingHeaderBytes hold even if operators allow more.
+	CeilingHeadTimeout = time.Minute
+	CeilingIdleTimeout = 10 * time.Minute
+	CeilingHeaderBytes = 1 << 20
 	// guardInterval is the interval at which connections that take too long are closed and what was closed is logged.
 	guardInterval = 500 * time.Millisecond
 )
@@ -69,7 +69,7 @@
 	n.guards.listeners[name] = guarded
 	return &httpServer{name: name, listener: guarded, server: &http.Server{
 		Handler:           connguard.Handler(handler, gateway.CallerConn),
-		ReadHeaderTimeout: ceilingHeadTimeout, IdleTimeout: ceilingIdleTimeout, MaxHeaderBytes: ceilingHeaderBytes,
+		ReadHeaderTimeout: CeilingHeadTimeout, IdleTimeout: CeilingIdleTimeout, MaxHeaderBytes: CeilingHeaderBytes,
 		ErrorLog:    eventlog.StandardLogger(n.log.WithField("server", name), "connection failed"),
 		ConnContext: gateway.ConnContext, ConnState: guarded.ConnState,
 	}}
--- a/internal/fleet/findings.go
+++ b/internal/fleet/findings.go
@@ -110,7 +110,8 @@
 			continue
 		}
 		for _, later := range f.config.Exceptions[i+1:] {
-			if later.Scope == exc.Scope && later.IsActive(f.now) && !exc.Withdraw && later.Set.overrides(exc.Set) {
+			outlasts := later.Expires.IsZero() || !exc.Expires.IsZero() && !later.Expires.Before(exc.Expires)
+			if later.Scope == exc.Scope && outlasts && later.IsActive(f.now) && !exc.Withdraw && later.Set.overrides(exc.Set) {
 				f.add(path+".Set", "", "never holds: exception %s sets the same for the same requests", later.ID)
 			}
 		}
