Count connections that end after their head was read and before their request

Such a connection left no trace: neither the gateway nor the guard of connections counted it, so that a request that a shutdown cuts off couldn't be told from a caller that leaves. The counts since the last log line are logged at the end of a shutdown, too.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -25,6 +25,8 @@
 	bytes     int64
 	// isHandedOver means that the server has got the head, or a part of one that it refuses.
 	isHandedOver bool
+	// isBegun means that the request of that head is or was served.
+	isBegun bool
 	// isEnded means that no request is served any more, isForgotten that the connection counts no more, isCutOff that it ended while a request ran.
 	isEnded, isForgotten, isCutOff bool
 }
@@ -125,6 +127,7 @@
 		return false
 	}
 	l.leaveQueue(c)
+	c.isBegun = true
 	if c.bytes == connBytes {
 		// The head came together with the request before, and wasn't counted.
 		fields := fieldBytes(header)
@@ -163,9 +166,13 @@
 func (c *conn) Close() error {
 	l := c.listener
 	l.mu.Lock()
+	isNotServed := c.isHandedOver && !c.isBegun && !c.isEnded
 	l.leaveQueue(c)
 	l.forget(c)
 	l.mu.Unlock()
+	if isNotServed {
+		l.opts.Count(NotServed)
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -57,6 +57,8 @@
 	// MadeRoom means that a connection without a request was closed for others, NoRoom that there was none to close.
 	MadeRoom Cause = "made room"
 	NoRoom   Cause = "no room"
+	// NotServed means that the server closed a connection after the end of a head and before its request, or after a head that is none of a request.
+	NotServed Cause = "not served"
 )
 
 // Options configures New.
@@ -286,7 +288,7 @@
 		}
 		l.leaveQueue(c)
 		l.bytes -= c.bytes - connBytes
-		c.bytes, c.headBytes, c.isHandedOver, c.waitsFrom = connBytes, 0, false, time.Now()
+		c.bytes, c.headBytes, c.isHandedOver, c.isBegun, c.waitsFrom = connBytes, 0, false, false, time.Now()
 		c.place, c.queue = l.idle.PushBack(c), l.idle
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -307,6 +307,7 @@
 		n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
 	}
 	n.tunnels.Wait(ctx)
+	n.logClosed()
 	n.log.WithField("running", n.gateway.InFlight()).Info("node stopped")
 }
 
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -120,18 +120,23 @@
 		for _, listener := range n.guards.listeners {
 			listener.Sweep(now)
 		}
-		n.guards.mu.Lock()
-		closed := n.guards.closed
-		n.guards.closed = make(map[string]map[connguard.Cause]int)
-		n.guards.mu.Unlock()
-		for listener, causes := range closed {
-			for cause, count := range causes {
-				n.log.WithFields(log.Fields{"listener": listener, "cause": string(cause), "connections": count}).Warn("connections closed")
-			}
-		}
+		n.logClosed()
 	})
 }
 
+// logClosed logs the connections that were closed or refused since the last call.
+func (n *Node) logClosed() {
+	n.guards.mu.Lock()
+	closed := n.guards.closed
+	n.guards.closed = make(map[string]map[connguard.Cause]int)
+	n.guards.mu.Unlock()
+	for listener, causes := range closed {
+		for cause, count := range causes {
+			n.log.WithFields(log.Fields{"listener": listener, "cause": string(cause), "connections": count}).Warn("connections closed")
+		}
+	}
+}
+
 // gaugeConnections updates the gauges of open connections and of their memory.
 func (n *Node) gaugeConnections() {
 	for name, listener := range n.guards.listeners {
