Answer the requests that arrive on open connections in a shutdown

Cause: http.Server.Shutdown closes each connection whose head it reads after its begin, without an answer, and closes idle ones in the moment in which a head is being read. Class of fault: a close that races a request.

Change: the guard of connections drains the listener itself. It closes connections without a request after a short wait; the goroutine that reads a connection decides, so that no byte that was read is lost, also where the process stood still. Requests of which a byte has been read are served, or refused with 503. A request isn't passed on once its connection is closed.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -23,6 +23,8 @@
 	// headBytes is the number of bytes read since then, bytes the memory that is counted for the connection.
 	headBytes int
 	bytes     int64
+	// readDeadline is the deadline for reads that the server has set.
+	readDeadline time.Time
 	// isHandedOver means that the server has got the head, or a part of one that it refuses.
 	isHandedOver bool
 	// isBegun means that the request of that head is or was served.
@@ -39,7 +41,7 @@
 	}
 	for c.listener.isReadingHead(c) {
 		to := c.head.room(p, c.listener.opts.Limits().MaxHeadBytes)
-		n, err := c.Conn.Read(to)
+		n, err := c.readHead(to)
 		if n == 0 {
 			c.head.release()
 			return 0, err
@@ -169,6 +171,7 @@
 	isNotServed := c.isHandedOver && !c.isBegun && !c.isEnded
 	l.leaveQueue(c)
 	l.forget(c)
+	c.isEnded = true
 	l.mu.Unlock()
 	if isNotServed {
 		l.opts.Count(NotServed)
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -86,6 +86,10 @@
 	// unproven and idle hold the connections without a request, of which the latter have had one, and ahead those whose clients send on before their requests are
 	// answered, and unread those whose request's body has yet to come; those that have waited longest come first.
 	unproven, ahead, idle, unread *list.List
+	// drained is closed, and isDrained set, once no connection is left after Drain was called at drainsFrom; it is nil before.
+	drained    chan struct{}
+	isDrained  bool
+	drainsFrom time.Time
 }
 
 // New returns a listener that wraps another one.
@@ -98,6 +102,9 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err != nil {
+			if l.isDraining() {
+				err = http.ErrServerClosed
+			}
 			return nil, err
 		}
 		c := &conn{Conn: accepted, listener: l}
@@ -176,10 +183,15 @@
 		c.waitsFrom = time.Now()
 		l.idle.MoveToBack(c.place)
 	}
+	hasBegun := c.headBytes == 0 && read > 0
 	if c.headBytes += read; fields != nil && !c.isHandedOver {
 		// What follows on the head is no part of it.
 		c.headBytes = len(fields)
 	}
+	if hasBegun && l.drained != nil {
+		// The wait for the head has ended. It fails only if the connection is closed already.
+		_ = c.applyReadDeadline()
+	}
 	if limit := l.opts.Limits().MaxHeadBytes; limit > 0 && c.headBytes > limit+bufferBytes {
 		// The connection counts until its client has had the time to take the refusal.
 		c.isEnded = true
@@ -255,6 +267,7 @@
 		c.isForgotten = true
 		l.conns--
 		l.bytes -= c.bytes
+		l.checkDrained()
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -275,7 +275,7 @@
 	go func() { ended <- super.Run(duties) }()
 	select {
 	case <-ctx.Done():
-		n.stop(servers[0].server)
+		n.stop()
 	case err = <-ended:
 		ended <- err
 	}
@@ -290,7 +290,7 @@
 }
 
 // stop shuts the listener for callers down and waits for in-flight requests to complete, at most for the grace period.
-func (n *Node) stop(callers *http.Server) {
+func (n *Node) stop() {
 	begin, grace := time.Now(), n.settings.Load().Bounds.GracePeriod
 	share := func(part float64) time.Duration { return time.Duration(part * float64(grace)) }
 	n.isStopping.Store(true)
@@ -302,8 +302,7 @@
 		n.log.WithError(err).Warn("could not remove node from the list; its lease will expire")
 	}
 	sleep.For(ctx, time.Until(begin.Add(share(acceptConnectionsShare))))
-	// Shutdown closes each connection when its request ends, so that a connection accepted at this moment still gets its answer.
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := n.guards.listeners[callersListener].Drain(ctx); err != nil {
 		n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
 	}
 	n.tunnels.Wait(ctx)
@@ -330,7 +329,7 @@
 	return Error.Wrap(err)
 }
 
-// listen opens the node's listeners; the first one serves callers.
+// listen opens the node's listeners.
 func (n *Node) listen(ctx context.Context) ([]*httpServer, error) {
 	at := n.opts.Settings.Listen
 	var servers []*httpServer
@@ -338,7 +337,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", at.Callers, n.gateway},
+		{callersListener, at.Callers, n.gateway},
 		{"peers", at.Peers, n.peerHandler()},
 		{"readiness", at.Readiness, platform.ReadinessHandler(n.isReady)},
 		{"addresses", at.Addresses, platform.AddressHandler(n.addressesFor)},
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -35,8 +35,11 @@
 	guardInterval = 500 * time.Millisecond
 )
 
+// callersListener is the name of the listener for callers' requests.
+const callersListener = "callers"
+
 // guardShares are the parts of the descriptors and the memory of all listeners that each of them gets, so that a crowd at one leaves the others alone.
-var guardShares = map[string]float64{"callers": 0.4, "peers": 0.3, "addresses": 0.15, "readiness": 0.1, "metrics": 0.05}
+var guardShares = map[string]float64{callersListener: 0.4, "peers": 0.3, "addresses": 0.15, "readiness": 0.1, "metrics": 0.05}
 
 // guards bounds the connections of the node's listeners.
 type guards struct {
@@ -58,7 +61,7 @@
 		conns = listenedShare * float64(resources.MaxFiles-reservedFiles)
 	}
 	share, limits := guardShares[name], n.headLimits
-	if name != "callers" && name != "addresses" {
+	if name != callersListener && name != "addresses" {
 		// Operators' limits are those of callers.
 		limits = defaultHeadLimits
 	}
