Admit requests to a stopping node by when they have been read

What callers see: a node that stops passes a request on and closes its connection without an answer (LOST). The head comes 1 s after the stop, the rest of the body at 4 s of 8 s, and the server takes 5 s: the request was complete later than 3 s after the stop, and is cut at 7.2 s.

Cause: a request that is due after the shutdown's end is admitted by the time at which its head came, although its body may take as long as the request.

Cause: past 0.3 of the grace period a node that stops takes only requests that are due before the shutdown's end, and compared the time of the request's head. A body may come seconds later, and its request was passed on and cut off (LOST).

Change: the time is that of the admission, after the body has been read. Such a request gets a 503, which says truly that it has not run.

Class of fault: a decision that holds from the moment of admission is made by an earlier time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,8 @@
 		return nil, &rejection{status: http.StatusMisdirectedRequest, reason: reasonUnknownModel}
 	}
 	deadline := arrived.Add(requestTimeout(info, r))
-	if stop := g.stopping.Load(); stop != nil && arrived.After(stop.allUntil) && !deadline.Before(stop.end) {
+	// The body may have come long after the head.
+	if stop := g.stopping.Load(); stop != nil && time.Now().After(stop.allUntil) && !deadline.Before(stop.end) {
 		return nil, retryLater(reasonStopping)
 	}
 	admitted := &admittedRequest{
