Answer the requests that wait at the end of a stop

What callers see: at the end of the shutdown a node closes the connections of all requests in flight without an answer, also of those whose answers have not begun: calls, and streams whose servers still read their prompts.

Cause: nothing but the closing of their connections ends these requests.

Cause: at the end of the shutdown the requests in flight ended with their connections only. For those whose answers had not begun that is needless: a 502 promises as little as a closed connection, and is an answer.

Streams that have begun go on until the end, and so do requests that are due before it.

Class of fault: work is ended by taking its connection away.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/monsoonrail/monsoonrail/internal/framing"
 )
@@ -44,7 +45,7 @@
 	canChunk bool
 	framing  framing.Framing
 	// isHeadSent is set once the head was sent.
-	isHeadSent bool
+	isHeadSent atomic.Bool
 }
 
 func newCallerAnswer(w http.ResponseWriter, req *http.Request) *callerAnswer {
@@ -55,7 +56,7 @@
 // sendHead sends the head of an answer. The answer has the framing of the server's answer, so that its end shows the caller no more than the
 // server's bytes show.
 func (a *callerAnswer) sendHead(status int, header http.Header, server framing.Framing) {
-	a.isHeadSent = true
+	a.isHeadSent.Store(true)
 	copyAnswerHeader(a.w.Header(), header)
 	a.framing = server
 	if server == framing.Chunked && !a.canChunk {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,8 @@
 	defaultDeadline = 30 * time.Second
 	// initialConfigTimeout is how long a request waits for the first confirmed configuration after the node has started.
 	initialConfigTimeout = 500 * time.Millisecond
+	// endMargin is how long before a stop breaks off the requests in flight those whose answers have not begun are ended with an error.
+	endMargin = 400 * time.Millisecond
 	// writeMargin is how long after the request's deadline an answer may still be written to a caller that reads slowly.
 	writeMargin = time.Second
 )
@@ -109,6 +111,9 @@
 	opts Options
 	// stopping is nil until Stop is called.
 	stopping atomic.Pointer[stopDeadlines]
+	// ending is canceled by endWaiting, endMargin before a stop's end.
+	ending     context.Context
+	endWaiting context.CancelFunc
 
 	prompts promptSizes
 	// reading is how long servers take to read prompts, writing how long for the events of answers.
@@ -122,7 +127,9 @@
 // New returns a gateway.
 func New(opts Options) *Gateway {
 	opts.Log = eventlog.OrDiscard(opts.Log)
-	return &Gateway{opts: opts}
+	g := &Gateway{opts: opts}
+	g.ending, g.endWaiting = context.WithCancel(context.Background())
+	return g
 }
 
 // stopDeadlines are the time until which a stopping node admits every request, and the time at which it breaks off those in flight.
@@ -131,9 +138,11 @@
 }
 
 // Stop begins a graceful stop that breaks off the requests in flight at end: answers carry "Connection: close", and new requests are admitted until
-// allUntil, and afterwards if their deadlines are before the end.
+// allUntil, and afterwards if their deadlines are before the end. Requests that are due later, and whose answers have not begun shortly before the end, get an
+// error.
 func (g *Gateway) Stop(allUntil, end time.Time) {
 	g.stopping.Store(&stopDeadlines{allUntil: allUntil, end: end})
+	time.AfterFunc(time.Until(end)-endMargin, g.endWaiting)
 }
 
 // InFlight returns the number of requests in flight.
@@ -175,9 +184,28 @@
 		// can't retry it.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(region.NewContext(ctx, admitted.regions()), admitted.deadline)
+	ctx, end := context.WithCancelCause(region.NewContext(ctx, admitted.regions()))
+	defer end(nil)
+	ctx, cancel := context.WithDeadline(ctx, admitted.deadline)
 	defer cancel()
-	newDispatcher(g, admitted, newCallerAnswer(w, req)).serve(ctx)
+	answer := newCallerAnswer(w, req)
+	defer context.AfterFunc(g.ending, func() {
+		if !answer.isHeadSent.Load() && !admitted.deadline.Before(g.stopping.Load().end) {
+			end(errStopEnds)
+		}
+	})()
+	newDispatcher(g, admitted, answer).serve(ctx)
+}
+
+// errStopEnds is the cause by which the context of a request ends whose answer has not begun at the end of a stop.
+var errStopEnds = errors.New("node stops")
+
+// isEndedByStop reports whether the context of a request has ended with a stop.
+func isEndedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopEnds) }
+
+// hasLeft reports whether the caller of a request with a context has left.
+func hasLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !isEndedByStop(ctx)
 }
 
 // waitForTable returns the configuration in force. A node that has just started waits for it, and for the read that confirms its keys, up to
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -144,7 +144,7 @@
 
 // sendHead sends the head of the answer once: a stream that is resumed at another server keeps the head from the first one.
 func (d *dispatcher) sendHead(answer *upstream.Answer) {
-	if d.answer.isHeadSent {
+	if d.answer.isHeadSent.Load() {
 		return
 	}
 	d.countFirstEvent()
@@ -167,7 +167,7 @@
 // status. An answer that names no media type may be one.
 func (d *dispatcher) checkResumed(header http.Header) error {
 	got := mediaType(header)
-	if !d.answer.isHeadSent || got == "" || d.streamType == "" || got == d.streamType {
+	if !d.answer.isHeadSent.Load() || got == "" || d.streamType == "" || got == d.streamType {
 		return nil
 	}
 	return &errNotResumed{sent: d.streamType, got: got}
@@ -199,7 +199,7 @@
 
 // streamFailed handles a stream that broke off, paused for too long or reached the deadline.
 func (d *dispatcher) streamFailed(ctx context.Context, server *backend.TrackedServer, err error, startedAt time.Time) attemptResult {
-	if ctx.Err() != nil && time.Now().Before(d.deadline) {
+	if ctx.Err() != nil && !isEndedByStop(ctx) && time.Now().Before(d.deadline) {
 		d.abandon()
 	}
 	if !time.Now().Before(d.deadline) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -102,7 +101,7 @@
 // escalate decides by an answer's confidence whether a larger model is to answer instead; it then selects that model and reports true.
 // An answer can only be replaced before any part of it was sent to the caller, and if the request may run twice.
 func (d *dispatcher) escalate(info AnswerInfo) bool {
-	if d.model == "" || !d.route.MayRepeat() || !info.HasConfidence || d.answer.isHeadSent || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if d.model == "" || !d.route.MayRepeat() || !info.HasConfidence || d.answer.isHeadSent.Load() || d.possibleRuns+1 >= d.route.MaxAttempts {
 		return false
 	}
 	next := d.g.opts.ModelPolicy.Next(d.route.Models, d.modelIndex, info.Confidence, d.priority(), d.utilization)
@@ -140,7 +139,7 @@
 	defer d.releaseErrorAnswer()
 	isRetry := false
 	for {
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if hasLeft(ctx) {
 			d.abandon()
 		}
 		if rejection := d.checkAttempt(ctx, isRetry); rejection != nil {
@@ -175,7 +174,7 @@
 			d.possibleRuns++
 		case resultMayHaveRun:
 			d.possibleRuns++
-			if !d.mayRepeat() {
+			if !d.mayRepeat() && !isEndedByStop(ctx) {
 				d.failRequest(&rejection{status: http.StatusBadGateway, reason: "server's answer lost"})
 				return
 			}
@@ -193,6 +192,8 @@
 // draws on the retry budget.
 func (d *dispatcher) checkAttempt(ctx context.Context, isRetry bool) *rejection {
 	switch {
+	case isEndedByStop(ctx):
+		return retryLater(reasonStopping)
 	case ctx.Err() != nil:
 		return &rejection{status: http.StatusGatewayTimeout, reason: reasonDeadline}
 	case d.attempts == 0:
@@ -274,11 +275,11 @@
 // failRequest ends a request for which there is no complete answer. It ends an answer that may be complete as such, aborts any other that has
 // begun, forwards the last error answer, or sends the rejection.
 func (d *dispatcher) failRequest(failure *rejection) {
-	if d.answer.isHeadSent && d.isUnconfirmed {
+	if d.answer.isHeadSent.Load() && d.isUnconfirmed {
 		d.endStream(framing.Unconfirmed, failure.reason)
 		return
 	}
-	if d.answer.isHeadSent {
+	if d.answer.isHeadSent.Load() {
 		d.finish("stream broken off", failure.reason)
 		d.answer.abort()
 	}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -71,7 +71,7 @@
 		return resultMayHaveRun
 	}
 	defer read.memory.Release()
-	if d.answer.isHeadSent || !d.route.MayRepeat() && promisesNotRun(read.status) {
+	if d.answer.isHeadSent.Load() || !d.route.MayRepeat() && promisesNotRun(read.status) {
 		d.possibleRuns++
 		d.failRequest(&rejection{status: http.StatusBadGateway, reason: reasonServerFailure})
 		return resultDone
