End the attempts through other nodes with the dialer

What operators see: the end of a node's process takes up to 0.5 s longer, out of the 0.8 s that the shutdown leaves, while nodes that were asked for a connection are silent. No request is lost by it.

Cause: Close ends the own attempts only. Other nodes are asked within the context of the request, and that of one which may run once doesn't end with its caller.

dialer_test.go:438: error: values are not equal got: s"250ms" want: s"0s"

Cause: Dialer.Close says that it ends all attempts, and ended those of its own only; it waited up to 0.5 s for nodes that were asked and are silent.

Change: the context of these attempts ends with the dialer, too.

Failed before as above. Result: Close returns at once (250 ms before); the package's tests pass.

Class of fault: a Close that waits for work whose context isn't its own. The other Close and Wait methods on the way to a process's end were read for it: tunnel.Handler, workshare.Exchange and upstream.Pool close the connections that they wait for.

--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -418,3 +418,24 @@
 		n.c.Check(err, qt.IsNotNil)
 	})
 }
+
+// TestCloseWaitsForNoSilentNodes guards against a dialer whose Close lasts as long as other nodes are silent that it has asked for a connection, when the
+// request that needs it doesn't end.
+func TestCloseWaitsForNoSilentNodes(t *testing.T) {
+	withNodes(t, nil, func(n *testNodes) {
+		n.network.Blackhole(nodeIP, serverIP)
+		for _, ip := range helperIPs {
+			n.network.Blackhole(nodeIP, ip)
+		}
+		failed := make(chan error, 1)
+		go func() {
+			_, err := n.dialer.DialContext(context.Background(), "tcp", serverAddress)
+			failed <- err
+		}()
+		time.Sleep(250 * time.Millisecond)
+		begin := time.Now()
+		n.dialer.Close()
+		n.c.Check(time.Since(begin), qt.Equals, time.Duration(0))
+		n.c.Check(<-failed, qt.IsNotNil)
+	})
+}
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -59,10 +59,11 @@
 	}
 }
 
-// run makes the attempts; ctx bounds those through other nodes.
+// run makes the attempts; ctx bounds those through other nodes. The dialer's Close ends all.
 func (r *race) run(ctx context.Context) {
 	helpCtx, endHelp := context.WithTimeout(ctx, r.d.opts.Timeout)
 	defer endHelp()
+	defer context.AfterFunc(r.d.ctx, endHelp)()
 	ownCtx, endOwn := context.WithTimeout(r.d.ctx, r.d.opts.Timeout)
 	defer endOwn()
 	r.askedAt = make(map[api.NodeID]time.Time)
