Read the settings once more before a stop

What callers see: a settings file with a shorter grace period is put in place, with or without a SIGHUP, and SIGTERM follows at once. The node stops by the former grace period and is killed at the end of the new one, with all requests that it answers (LOST, around a SIGTERM). With a longer one it cuts requests off that had time.

Cause: the file is read within 2 s of a change or after a SIGHUP, by a goroutine that nothing orders before the stop.

--- FAIL: TestStopKeepsToTheSettingsBeforeIt/without_SIGHUP (1.03s) signals_test.go:76: the process has not ended within its grace period --- FAIL: TestStopKeepsToTheSettingsBeforeIt/with_SIGHUP (1.08s) signals_test.go:76: the process has not ended within its grace period

Cause: a change of the settings file took effect when its check came, within 2 s, or when the goroutine that waits for a SIGHUP had read it and another one had applied it. A SIGTERM that followed sooner began a stop by the former grace period.

Change: SIGTERM has the file read first, after any reading under way, and the stop begins when the settings are applied. They are handed to the node by a call instead of a channel, whose receiver applied them at some later moment.

Failed before as above. The other tests of signals pass.

Class of fault: two signals that come in order are handled in no order. A change of the file within a stop doesn't move the end of the stop, as before. serve reads its settings only when it starts.

--- a/internal/cmd/edge.go
+++ b/internal/cmd/edge.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/edge"
 	"github.com/monsoonrail/monsoonrail/internal/setting"
+	"github.com/monsoonrail/monsoonrail/internal/site"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/platform"
 )
@@ -43,44 +45,73 @@
 	}
 	settings.Listen.Metrics = o.Metrics
 	setGCPercent()
-	ctx := shutdownContext()
+	stopping := shutdownContext()
 	logger, lines := o.Log.Open(o.std.out)
 	defer lines.Close()
-	reloads := make(chan edge.Reload)
+	node := edge.New(edge.Options{Settings: settings, Network: tcp.System{}, Log: logger})
+	watch := &settingsWatch{path: o.Settings, lastModTime: modTime(o.Settings), reload: node.Reload}
 	watching, endWatch := context.WithCancel(context.Background())
 	defer endWatch()
-	go watchSettings(watching, o.Settings, hangUps, reloads)
-	return edge.New(edge.Options{Settings: settings, Reloads: reloads, Network: tcp.System{}, Log: logger}).Run(ctx)
+	go watch.run(watching, hangUps)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	context.AfterFunc(stopping, func() {
+		// The stop goes by the settings that are in place when it begins.
+		watch.read()
+		stop()
+	})
+	return node.Run(running)
 }
 
 // settingsInterval is the interval at which the settings file is checked for changes, as it may change without a SIGHUP.
 const settingsInterval = 2 * time.Second
 
-// watchSettings reloads the settings file on each SIGHUP and whenever its modification time changes, until ctx ends.
-func watchSettings(ctx context.Context, path string, hangUps <-chan os.Signal, reloads chan<- edge.Reload) {
+// settingsWatch rereads the settings file when it may have changed.
+type settingsWatch struct {
+	path string
+	// reload takes the settings, or the error of reading them.
+	reload func(settings site.Settings, err error)
+
+	// mu is held while the file is read and applied, so that settings replace none that were read later.
+	mu          sync.Mutex
+	lastModTime time.Time
+}
+
+// run rereads the file on each SIGHUP and whenever its modification time changes, until ctx ends.
+func (w *settingsWatch) run(ctx context.Context, hangUps <-chan os.Signal) {
 	ticks := time.NewTicker(settingsInterval)
 	defer ticks.Stop()
-	lastModTime := modTime(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangUps:
+			w.read()
 		case <-ticks.C:
-			if modTime(path).Equal(lastModTime) {
-				continue
-			}
-		}
-		lastModTime = modTime(path)
-		settings, err := platform.ReadSettings(path)
-		select {
-		case reloads <- edge.Reload{Settings: settings, Err: err}:
-		case <-ctx.Done():
-			return
+			w.readIfChanged()
 		}
 	}
 }
 
+func (w *settingsWatch) read() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.readAndApply()
+}
+
+func (w *settingsWatch) readIfChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !modTime(w.path).Equal(w.lastModTime) {
+		w.readAndApply()
+	}
+}
+
+func (w *settingsWatch) readAndApply() {
+	w.lastModTime = modTime(w.path)
+	w.reload(platform.ReadSettings(w.path))
+}
+
 // modTime returns the modification time of a file, or the zero time if it can't be read. Either transition between the two counts as
 // a change.
 func modTime(path string) time.Time {
--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -45,6 +46,36 @@
 	}
 }
 
+// TestStopKeepsToTheSettingsBeforeIt guards against a stop by settings that were replaced just before it: with a shorter grace period, the process would be killed
+// while it still answers requests.
+func TestStopKeepsToTheSettingsBeforeIt(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		signals []os.Signal
+	}{
+		{"without SIGHUP", []os.Signal{syscall.SIGTERM}},
+		{"with SIGHUP", []os.Signal{syscall.SIGHUP, syscall.SIGTERM}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			p := startEdgeProcess(t, nil)
+			old, err := os.ReadFile(p.settings)
+			p.c.Assert(err, qt.IsNil)
+			shorter := bytes.Replace(old, fmt.Appendf(nil, "graceS = %d", int(gracePeriod.Seconds())), []byte("graceS = 1"), 1)
+			p.c.Assert(os.WriteFile(p.settings, shorter, 0o600), qt.IsNil)
+			for _, signal := range test.signals {
+				p.c.Assert(p.cmd.Process.Signal(signal), qt.IsNil)
+			}
+			select {
+			case err := <-p.exited:
+				p.c.Check(err, qt.IsNil)
+			case <-time.After(time.Second):
+				p.c.Error("the process has not ended within its grace period")
+			}
+		})
+	}
+}
+
 // TestSignalsEndNoServingNode guards against a SIGHUP that ends a node of the product's own interface, which has no settings to reload.
 func TestSignalsEndNoServingNode(t *testing.T) {
 	c := qt.New(t)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -79,9 +79,7 @@
 // Options configures New.
 type Options struct {
 	Settings site.Settings
-	// Reloads delivers reloaded settings; nil disables reloading.
-	Reloads <-chan Reload
-	Network tcp.Network
+	Network  tcp.Network
 	// Now is boottime.Now if nil.
 	Now func() boottime.Time
 	Log log.Interface
@@ -256,7 +254,6 @@
 	// Duties outlive ctx because the graceful shutdown still needs the store.
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	super := supervisor.New(n.log)
-	super.Add(supervisor.Duty{Name: "settings", Run: n.followSettings})
 	super.Add(supervisor.Duty{Name: "mirror", Run: n.mirror.Run})
 	super.Add(supervisor.Duty{Name: "announcement", Run: n.announcer.Run})
 	super.Add(supervisor.Duty{Name: "roll-outs", Run: n.runRollouts})
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"reflect"
 
 	"github.com/apex/log"
@@ -9,32 +8,15 @@
 	"github.com/monsoonrail/monsoonrail/internal/site"
 )
 
-// Reload is the outcome of rereading the settings: the new settings, or Err if they are invalid.
-type Reload struct {
-	Settings site.Settings
-	Err      error
-}
-
-// followSettings applies reloaded settings until ctx ends. Of these only the grace period takes effect immediately; all others need a
-// restart. Invalid settings are logged and the previous ones stay in force.
-func (n *Node) followSettings(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case reload := <-n.opts.Reloads:
-			n.applyReload(reload)
-		}
-	}
-}
-
-func (n *Node) applyReload(reload Reload) {
-	if reload.Err != nil {
-		n.log.WithError(reload.Err).Error("settings not reloaded; keeping the previous settings")
+// Reload applies reread settings, or logs the error err of rereading them, after which the previous ones stay in force. Of the settings only bounds that are read
+// where they are used take effect, such as the grace period in a stop that begins later; all others need a restart.
+func (n *Node) Reload(settings site.Settings, err error) {
+	if err != nil {
+		n.log.WithError(err).Error("settings not reloaded; keeping the previous settings")
 		return
 	}
-	old := n.settings.Swap(&reload.Settings)
+	old := n.settings.Swap(&settings)
 	n.log.WithFields(log.Fields{
-		"changed": !reflect.DeepEqual(*old, reload.Settings), "listeners_changed": old.Listen != reload.Settings.Listen,
+		"changed": !reflect.DeepEqual(*old, settings), "listeners_changed": old.Listen != settings.Listen,
 	}).Info("settings reloaded")
 }
