Keep silent servers while no other attempt is allowed

Callers see a stream cut ("unexpected EOF") after a pause of twice the route's maximum, or a 502 to a safe call after twice its target latency, although the server is sound and would have answered well before the deadline.

silenceDeadline and answerTimeout end a run for its server's silence unless the route's attempts are used up. Whether the next attempt is allowed is asked only afterwards: the retry budget may be used up, no server may take the request, keys may be old while the store is out, or rejections may have used up all attempts.

Cause: the time without bytes after which a server is given up, for the head of an answer, a whole answer and the events of a stream, looked at the route's attempts only. Retry budget, servers, keys and suspected crashes were asked once the connection was closed.

Change: when the time is over, the next attempt is reserved first, with all that checkAttempt asks and a look for a server that takes the request. While that fails, the server is kept and the question asked again each 500 ms. A read of an answer goes on past its deadline below the reader of its framing, which would remember the error. What was reserved and isn't used goes back to the budget. A retry that suspected crashes forbid no longer draws on the budget.

Why it works: a run ends for its server's silence only if the attempt that replaces it has passed every check but the other server's own answer.

Class: something is given up before it is known that its replacement may begin. The same could act where all servers turn a begun stream away, where a path is found to be silent (upstream.Pool.DropSilent) and where an answer of low confidence is dropped for a larger model (escalate).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -69,6 +69,8 @@
 	attempts sync.Map
 	// callersModel is the model that callers name.
 	callersModel string
+	// setBounds changes the bounds of the nodes that are started from now on, if not nil.
+	setBounds func(bounds *site.Bounds)
 	// requests counts the callers' requests; the count makes request IDs unique.
 	requests atomic.Int64
 }
@@ -202,16 +204,20 @@
 func (f *testFleet) startIn(ip string, domain api.FailureDomain) {
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &runningNode{ip: ip, stop: cancel, done: make(chan struct{})}
+	bounds := site.Bounds{
+		MaxDrainDelay: 2 * time.Second, GracePeriod: 8 * time.Second, MaxApplyDelay: 2 * time.Second, MaxRevocationDelay: 5 * time.Second,
+		RetryRatio: 0.9, RetrySlack: 56, RetryWindow: 10 * time.Second, SessionTimeout: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
+	}
+	if f.setBounds != nil {
+		f.setBounds(&bounds)
+	}
 	running := edge.New(edge.Options{
 		Settings: site.Settings{
 			Node: api.NodeID("node-" + ip), FailureDomain: domain,
 			Regions: region.Map{"z1": "north", "z2": "south", "z3": "east"},
 			Listen:  site.Listen{Callers: ip + ":80", Readiness: ip + ":81", Addresses: ip + ":82", Peers: ip + ":83", Metrics: ip + ":84"},
-			Bounds: site.Bounds{
-				MaxDrainDelay: 2 * time.Second, GracePeriod: 8 * time.Second, MaxApplyDelay: 2 * time.Second, MaxRevocationDelay: 5 * time.Second,
-				RetryRatio: 0.9, RetrySlack: 56, RetryWindow: 10 * time.Second, SessionTimeout: 5 * time.Second, MaxAddressTTL: 5 * time.Second,
-			},
-			Store: site.Store{Address: storeIP + ":80", MinLease: time.Second},
+			Bounds:  bounds,
+			Store:   site.Store{Address: storeIP + ":80", MinLease: time.Second},
 		},
 		Network: f.network.Host(ip), Log: &log.Logger{Handler: discard.New()},
 		Now: func() boottime.Time { return boottime.Time(time.Since(f.startedAt) + time.Hour) },
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -26,8 +26,7 @@
 	})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	headTimer := time.AfterFunc(d.answerTimeout(), cancel)
-	defer headTimer.Stop()
+	endHeadWatch := d.watchHead(ctx, cancel)
 	endWatch := d.watchFirstEvent(server)
 	defer endWatch()
 	load := newAttemptLoad(server, d.unread)
@@ -39,6 +38,7 @@
 		Method: d.method, Target: d.target, Host: d.host, Header: header, Body: d.body, HasBody: d.hasBody,
 		MayAbandon: !d.isLastAttempt(), QuietTimeout: d.quietTimeout(),
 	})
+	endHeadWatch()
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The caller disconnected; this is no failure of the server.
@@ -48,7 +48,6 @@
 	}
 	defer answer.Close()
 	d.usedConns = append(d.usedConns, answer.ConnID())
-	headTimer.Stop()
 	endWatch()
 	load.firstByte()
 	return d.handleAnswer(ctx, server, answer, startedAt)
@@ -85,7 +84,7 @@
 
 // isLastAttempt reports whether no further attempt may follow if the server runs the current one.
 func (d *dispatcher) isLastAttempt() bool {
-	return !d.mayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts
+	return !d.mayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts || d.attempts >= maxTotalAttempts
 }
 
 // answerTimeout returns how long to wait for the head of a server's answer, and then for the body of one that isn't streamed. If no further
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/rendezvous"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
+	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/internal/workload"
 )
 
@@ -38,8 +39,8 @@
 func (d *dispatcher) chooseServer() (*backend.TrackedServer, *rejection) {
 	now, nodes := time.Now(), d.g.opts.RecentNodeCount()
 	d.isFillAttempt = false
-	d.versionChoice = d.g.opts.Versions.Pick(d.service.Name, d.Session, string(d.ID), d.g.prompts.isShort(d.route.Name), now)
-	pool := d.versionPool()
+	d.versionChoice = d.pickVersion(now)
+	pool := d.versionPool(d.versionChoice)
 	key := d.affinityKey()
 	if key == "" {
 		key = string(d.ID)
@@ -48,7 +49,7 @@
 	if len(eligible) == 0 && d.versionChoice.UseTarget && !d.versionChoice.IsStrict {
 		// All servers of the version are cold or limited: the request is better off at another version than rejected.
 		d.versionChoice.UseTarget, d.versionChoice.FillShare = false, 0
-		pool = d.versionPool()
+		pool = d.versionPool(d.versionChoice)
 		eligible = d.eligibleServers(pool, backend.Selection{Key: key, Seed: string(d.ID)}, nodes, now)
 	}
 	if len(eligible) == 0 {
@@ -189,14 +190,33 @@
 	return keys
 }
 
+// pickVersion returns the version choice of an attempt that is made now.
+func (d *dispatcher) pickVersion(now time.Time) versionrollout.Choice {
+	return d.g.opts.Versions.Pick(d.service.Name, d.Session, string(d.ID), d.g.prompts.isShort(d.route.Name), now)
+}
+
+// hasServer reports whether a server takes the request now. It changes nothing of the current attempt.
+func (d *dispatcher) hasServer() bool {
+	now, nodes := time.Now(), d.g.opts.RecentNodeCount()
+	choice := d.pickVersion(now)
+	if len(admittingServers(d.versionPool(choice).Present(), nodes, now)) > 0 {
+		return true
+	}
+	if !choice.UseTarget || choice.IsStrict {
+		return false
+	}
+	choice.UseTarget = false
+	return len(admittingServers(d.versionPool(choice).Present(), nodes, now)) > 0
+}
+
 // versionPool returns the servers of the chosen version. If none is in service, it returns those of all versions, unless the choice is strict. A server
 // that takes no requests for some time doesn't count as missing: the other version may be faulty.
-func (d *dispatcher) versionPool() *backend.Pool {
-	if d.versionChoice.Target == "" {
+func (d *dispatcher) versionPool(choice versionrollout.Choice) *backend.Pool {
+	if choice.Target == "" {
 		return d.g.opts.Backends.PoolWithin(d.service.Name, d.regions())
 	}
-	pool := d.g.opts.Backends.PoolOfWithin(d.service.Name, d.versionChoice.Target, !d.versionChoice.UseTarget, d.regions())
-	if !d.versionChoice.IsStrict && !pool.HasPresent() {
+	pool := d.g.opts.Backends.PoolOfWithin(d.service.Name, choice.Target, !choice.UseTarget, d.regions())
+	if !choice.IsStrict && !pool.HasPresent() {
 		return d.g.opts.Backends.PoolWithin(d.service.Name, d.regions())
 	}
 	return pool
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,6 +29,7 @@
 	defer memory.Release()
 	// The connection's unread bytes are memory, too: it is closed before other answers may take the memory.
 	defer answer.Close()
+	answer.OnSilence(func() (time.Time, bool) { return d.awaitLonger(ctx) })
 	events := upstream.NewEventReader(answer.Body, memory)
 	eventsBefore := d.eventsSent
 	isProgress := true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,8 @@
 	hasBegun, isAnswered bool
 	// isProbe is set if the request may crash one server at most.
 	isProbe bool
+	// isReserved is set once the next attempt was reserved while the current one went on.
+	isReserved bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
 	lastErrorAnswer *wholeAnswer
 }
@@ -137,6 +139,7 @@
 	d.g.prompts.record(d.route.Name, d.PromptTokens, d.expectedAnswerTokens())
 	defer d.reportCrashes()
 	defer d.releaseErrorAnswer()
+	defer d.returnReservation()
 	isRetry := false
 	for {
 		if hasLeft(ctx) {
@@ -196,16 +199,23 @@
 		return retryLater(reasonStopping)
 	case ctx.Err() != nil:
 		return &rejection{status: http.StatusGatewayTimeout, reason: reasonDeadline}
-	case d.attempts == 0:
-	case d.attempts >= maxTotalAttempts || d.possibleRuns >= d.route.MaxAttempts:
+	case d.isReserved:
+		d.isReserved = false
+		return nil
+	case d.attempts > 0 && (d.attempts >= maxTotalAttempts || d.possibleRuns >= d.route.MaxAttempts):
 		return &rejection{status: http.StatusBadGateway, reason: reasonAttempts}
-	case isRetry && !d.allowRetry():
+	case d.team != nil && !d.g.opts.Configs.MayUseKeys():
+		return retryLater(reasonStaleKeys)
+	}
+	drawsOnBudget := d.attempts > 0 && isRetry
+	if drawsOnBudget && !d.allowRetry() {
 		return retryLater(reasonBudget)
 	}
-	if d.team != nil && !d.g.opts.Configs.MayUseKeys() {
-		return retryLater(reasonStaleKeys)
+	rejection := d.checkCrashes()
+	if rejection != nil && drawsOnBudget {
+		d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
 	}
-	return d.checkCrashes()
+	return rejection
 }
 
 // mayRepeat reports whether the request may be sent to another server after one may have run it.
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// silenceCheckInterval is the interval at which a request whose server is silent looks for another one.
+const silenceCheckInterval = 500 * time.Millisecond
+
+// awaitLonger reports whether the request stays with its server, which has been silent for unusually long, and until when: it does while no further
+// attempt may follow, since a silent server may still answer.
+func (d *dispatcher) awaitLonger(ctx context.Context) (until time.Time, goesOn bool) {
+	now := time.Now()
+	if !now.Before(d.deadline) || d.reserveAttempt(ctx) {
+		return time.Time{}, false
+	}
+	if until = now.Add(silenceCheckInterval); until.After(d.deadline) {
+		until = d.deadline
+	}
+	return until, true
+}
+
+// reserveAttempt reports whether a further attempt may follow on the current one, and reserves it if so.
+func (d *dispatcher) reserveAttempt(ctx context.Context) bool {
+	if !d.isReserved && !d.isLastAttempt() && d.hasServer() && d.checkAttempt(ctx, true) == nil {
+		d.isReserved = true
+	}
+	return d.isReserved
+}
+
+// returnReservation gives back the reservation of an attempt that wasn't made.
+func (d *dispatcher) returnReservation() {
+	if d.isReserved {
+		d.isReserved = false
+		d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
+	}
+}
+
+// watchHead calls abandon once the head of the current attempt's answer has taken too long and another attempt may follow. end ends the watch; until then
+// nothing else may use the dispatcher.
+func (d *dispatcher) watchHead(ctx context.Context, abandon func()) (end func()) {
+	var mu sync.Mutex
+	var timer *time.Timer
+	isEnded := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(d.answerTimeout(), func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if isEnded {
+			return
+		}
+		if until, goesOn := d.awaitLonger(ctx); goesOn {
+			timer.Reset(time.Until(until))
+			return
+		}
+		abandon()
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		isEnded = true
+		timer.Stop()
+	}
+}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -33,7 +33,7 @@
 
 // forwardWhole reads an answer completely before it forwards it, so that a caller never gets a partial answer.
 func (d *dispatcher) forwardWhole(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, startedAt time.Time) attemptResult {
-	read, err := d.readWhole(server, answer)
+	read, err := d.readWhole(ctx, server, answer)
 	if err != nil {
 		return d.attemptFailed(ctx, server, err, startedAt)
 	}
@@ -51,7 +51,7 @@
 // handleErrorAnswer handles an answer with an error status. A server error is kept for failRequest if the request may be retried at
 // another server; any other error is forwarded, unless its status would promise the caller of a request that must not be repeated that it has not run.
 func (d *dispatcher) handleErrorAnswer(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer, info AnswerInfo, startedAt time.Time) attemptResult {
-	read, err := d.readWhole(server, answer)
+	read, err := d.readWhole(ctx, server, answer)
 	if err != nil || !info.IsSigned {
 		if err == nil {
 			read.memory.Release()
@@ -96,8 +96,9 @@
 
 func (e *errUnsigned) Error() string { return "unsigned answer with status " + strconv.Itoa(e.status) }
 
-func (d *dispatcher) readWhole(server *backend.TrackedServer, answer *upstream.Answer) (*wholeAnswer, error) {
+func (d *dispatcher) readWhole(ctx context.Context, server *backend.TrackedServer, answer *upstream.Answer) (*wholeAnswer, error) {
 	if !d.isLastAttempt() {
+		answer.OnSilence(func() (time.Time, bool) { return d.awaitLonger(ctx) })
 		if err := answer.SetReadDeadline(time.Now().Add(d.answerTimeout())); err != nil {
 			return nil, upstream.Error.Wrap(&upstream.ErrNoAnswer{Cause: err})
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -178,6 +178,9 @@
 // SetReadDeadline sets the deadline for reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
+// OnSilence sets a function that is called when a read of the body reaches its deadline, and returns whether the read goes on, and until when.
+func (a *Answer) OnSilence(extend func() (until time.Time, goesOn bool)) { a.conn.onSilence = extend }
+
 // ConnID returns the connection over which the answer comes.
 func (a *Answer) ConnID() ConnID { return a.conn.id }
 
@@ -206,6 +209,7 @@
 	}
 	c := a.conn
 	a.conn = nil
+	c.onSilence = nil
 	isOpen := a.stopWatch()
 	a.pool.end(c)
 	if !isOpen || !a.isComplete || a.resp.Close || a.Framing() == framing.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -112,6 +113,8 @@
 	reader  *bufio.Reader
 	// head bounds the bytes that the reader gets while it reads a head.
 	head *headLimiter
+	// onSilence is that of Answer; nil ends a read at its deadline. Only the goroutine that reads uses it.
+	onSilence func() (until time.Time, goesOn bool)
 	// lastReceived is when bytes last arrived, or when the last request was sent if that is later, in Unix nanoseconds.
 	lastReceived atomic.Int64
 	// isDropped is set if the connection was closed because its path is silent.
@@ -171,6 +174,9 @@
 // Read implements io.Reader.
 func (r *receiver) Read(p []byte) (int, error) {
 	n, err := r.conn.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.conn.extend() {
+		n, err = r.conn.Conn.Read(p)
+	}
 	if n > 0 {
 		now := time.Now().UnixNano()
 		r.pool.lastReceived.Store(now)
@@ -182,6 +188,15 @@
 	return n, err
 }
 
+// extend moves the deadline of a read that has reached it, and reports whether the read goes on.
+func (c *conn) extend() bool {
+	if c.onSilence == nil {
+		return false
+	}
+	until, goesOn := c.onSilence()
+	return goesOn && c.SetReadDeadline(until) == nil
+}
+
 // DropSilent closes the connections on silent paths on which nothing has arrived for silentTimeout, and later those on which nothing arrives from now on, if their
 // requests may be abandoned. It is called when a path is found to be silent.
 func (p *Pool) DropSilent() {
