Let begun streams wait for a server

Callers see a stream cut ("unexpected EOF") that had begun: its server paused for twice the route's maximum pause and was given up, and all servers were full when the stream was to go on. Eight rejections take 80 ms, and the request has used up its attempts, although it has most of its time left.

--- FAIL: TestBegunStreamOutlastsFullServers error: got non-nil error: unexpected EOF got: "id: 1\ndata: /s/1 1\n\n"

Cause: a stream that must go on at another server was held to the eight attempts of a request without an answer, rejections and failed connections included, and ended at once where no server took it. Its caller can't take a 503 any more.

Change: the attempts in all bound a request only until its answer has begun. After eight, a begun stream tries again each 250 ms, and waits as long where no server takes it, until its deadline. Where the retry budget or old keys forbid the attempt, it waits only if this node has given a server up for its silence: the caller of a stream that a server broke off is better off at another node. A retry for which there is no server is given back to the budget.

Why it works: full servers and servers that are away for a moment are back long before the deadline; runs stay bounded by the route's attempts, arrivals by the retry budget.

Class: a bound that is right for requests without an answer, applied to begun ones. The same could act in handleErrorAnswer, where any answer under 500 ends a stream that is resumed.

Measured: TestBegunStreamOutlastsFullServers failed, and passes. Passed: gateway, upstream, edge (89 s beside other work), play (100 s), promises (125 s), lint; these tests under the race detector.

--- a/internal/edge/silent_servers_test.go
+++ b/internal/edge/silent_servers_test.go
@@ -95,3 +95,18 @@
 		})
 	}
 }
+
+// TestBegunStreamOutlastsFullServers guards against streams that are cut because all servers are full for a moment after one has stopped sending.
+func TestBegunStreamOutlastsFullServers(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		server, end := f.replaceModelServers(platformfake.ServerOptions{
+			Latency: 50 * time.Millisecond, Pause: 1500 * time.Millisecond, Events: 3, Confidence: 90,
+		})
+		defer end()
+		time.AfterFunc(200*time.Millisecond, func() { server.SetResponse(http.StatusOK, true) })
+		time.AfterFunc(2*time.Second, func() { server.SetResponse(http.StatusOK, false) })
+		got := f.send(context.Background(), 0, "/s/1", "key-1")
+		f.c.Check(got.err, qt.IsNil)
+		f.c.Check(got.body, qt.Equals, platformfake.Stream("/s/1", 3))
+	})
+}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -84,7 +84,7 @@
 
 // isLastAttempt reports whether no further attempt may follow if the server runs the current one.
 func (d *dispatcher) isLastAttempt() bool {
-	return !d.mayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts || d.attempts >= maxTotalAttempts
+	return !d.mayRepeat() || d.possibleRuns+1 >= d.route.MaxAttempts || d.hasMadeAllAttempts()
 }
 
 // answerTimeout returns how long to wait for the head of a server's answer, and then for the body of one that isn't streamed. If no further
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	// maxTotalAttempts bounds the attempts of a request, including those that the server certainly did not run.
+	// maxTotalAttempts bounds the attempts of a request whose answer has not begun, including those that the server certainly did not run.
 	maxTotalAttempts = 8
 	// notRunDelay is the wait before the next attempt after one that was certainly not run.
 	notRunDelay = 10 * time.Millisecond
+	// begunStreamDelay is that wait for a begun stream that has made maxTotalAttempts, or for which no attempt is allowed.
+	begunStreamDelay = 250 * time.Millisecond
 )
 
 // dispatcher serves one admitted request by attempts at one server after the other.
@@ -82,6 +84,8 @@
 	hasBegun, isAnswered bool
 	// isProbe is set if the request may crash one server at most.
 	isProbe bool
+	// hasGivenUpServer is set once a server was given up for its silence.
+	hasGivenUpServer bool
 	// isReserved is set once the next attempt was reserved while the current one went on.
 	isReserved bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
@@ -145,13 +149,19 @@
 		if hasLeft(ctx) {
 			d.abandon()
 		}
-		if rejection := d.checkAttempt(ctx, isRetry); rejection != nil {
-			d.failRequest(rejection)
-			return
+		refused := d.checkAttempt(ctx, isRetry)
+		var server *backend.TrackedServer
+		if refused == nil {
+			if server, refused = d.chooseServer(); server == nil && isRetry {
+				d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
+			}
 		}
-		server, noServer := d.chooseServer()
-		if noServer != nil {
-			d.failRequest(noServer)
+		if refused != nil {
+			if d.mayWait(refused) {
+				sleep.For(ctx, begunStreamDelay)
+				continue
+			}
+			d.failRequest(refused)
 			return
 		}
 		d.attempts++
@@ -161,7 +171,7 @@
 			if isRetry {
 				d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
 			}
-			sleep.For(ctx, notRunDelay)
+			sleep.For(ctx, d.notRunDelay())
 			continue
 		}
 		isRetry = true
@@ -186,7 +196,7 @@
 				return
 			}
 		case resultNotRun:
-			sleep.For(ctx, notRunDelay)
+			sleep.For(ctx, d.notRunDelay())
 		}
 	}
 }
@@ -202,7 +212,7 @@
 	case d.isReserved:
 		d.isReserved = false
 		return nil
-	case d.attempts > 0 && (d.attempts >= maxTotalAttempts || d.possibleRuns >= d.route.MaxAttempts):
+	case d.attempts > 0 && (d.hasMadeAllAttempts() || d.possibleRuns >= d.route.MaxAttempts):
 		return &rejection{status: http.StatusBadGateway, reason: reasonAttempts}
 	case d.team != nil && !d.g.opts.Configs.MayUseKeys():
 		return retryLater(reasonStaleKeys)
@@ -218,6 +228,35 @@
 	return rejection
 }
 
+// hasMadeAllAttempts reports whether the request has made as many attempts as one may whose answer has not begun.
+func (d *dispatcher) hasMadeAllAttempts() bool {
+	return d.attempts >= maxTotalAttempts && !d.answer.isHeadSent.Load()
+}
+
+// notRunDelay returns the wait before the next attempt after one that was certainly not run.
+func (d *dispatcher) notRunDelay() time.Duration {
+	if d.attempts >= maxTotalAttempts {
+		return begunStreamDelay
+	}
+	return notRunDelay
+}
+
+// mayWait reports whether a begun stream waits until it may go on, instead of ending for a rejection. Where the rejection is this node's alone, its caller is better
+// off at another node, unless the server that this node has given up might have sent the rest.
+func (d *dispatcher) mayWait(refused *rejection) bool {
+	if !d.answer.isHeadSent.Load() || d.isUnconfirmed && d.mayEndUnconfirmed() {
+		return false
+	}
+	switch refused.reason {
+	case reasonNoServer, reasonEvacuated, reasonRegions:
+		return true
+	case reasonBudget, reasonStaleKeys:
+		return d.hasGivenUpServer
+	default:
+		return false
+	}
+}
+
 // mayRepeat reports whether the request may be sent to another server after one may have run it.
 func (d *dispatcher) mayRepeat() bool { return d.route.MayRepeat() && !d.hasSentDataWithoutID }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -13,7 +13,11 @@
 // attempt may follow, since a silent server may still answer.
 func (d *dispatcher) awaitLonger(ctx context.Context) (until time.Time, goesOn bool) {
 	now := time.Now()
-	if !now.Before(d.deadline) || d.reserveAttempt(ctx) {
+	if !now.Before(d.deadline) {
+		return time.Time{}, false
+	}
+	if d.reserveAttempt(ctx) {
+		d.hasGivenUpServer = true
 		return time.Time{}, false
 	}
 	if until = now.Add(silenceCheckInterval); until.After(d.deadline) {
