Keep begun answers on silent paths while nothing may replace them

Callers see a stream cut ("unexpected EOF") while its server sends on: a new connection to that server was silent, another node opened one, and the path counts as silent. DropSilent closes all connections to the server on which nothing has arrived for 500 ms, whether or not another attempt is allowed.

--- FAIL: TestStreamOutlastsSilentDials error: got non-nil error: unexpected EOF got: "id: 1\ndata: /s/1 1\n\n"

Cause: DropSilent closed each connection on which nothing had arrived for 500 ms and whose path counts as silent, which shows in new connections.

Change: once an answer is being read, DropSilent brings its read to its deadline instead of closing the connection. The reader then reserves the attempt that replaces this one, as for any silence, or goes on. Before the head of an answer the connection is closed as before: its caller gets an answer in any case. A dropped connection isn't kept for further requests.

Why it works: as with the silence of a server, an answer ends only if its replacement has passed every check. Where it has, streams leave the path as soon as before.

Class: something is given up before it is known that its replacement may begin. The same could act on requests without an answer on silent paths, whose callers get a 502 where the retry budget is used up.

Measured: TestStreamOutlastsSilentDials failed, and passes.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -127,6 +127,7 @@
 		if id := p.opts.AnswerID(resp.Header); id == req.ID {
 			a := &Answer{Status: resp.StatusCode, Header: resp.Header, pool: p, conn: c, resp: resp, stopWatch: stopWatch}
 			a.Body = (*answerBody)(a)
+			c.isAnswering.Store(true)
 			return a, nil
 		} else {
 			mismatch.Got = id
@@ -210,9 +211,10 @@
 	c := a.conn
 	a.conn = nil
 	c.onSilence = nil
+	c.isAnswering.Store(false)
 	isOpen := a.stopWatch()
 	a.pool.end(c)
-	if !isOpen || !a.isComplete || a.resp.Close || a.Framing() == framing.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
+	if !isOpen || c.isDropped.Load() || !a.isComplete || a.resp.Close || a.Framing() == framing.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -117,8 +117,8 @@
 	onSilence func() (until time.Time, goesOn bool)
 	// lastReceived is when bytes last arrived, or when the last request was sent if that is later, in Unix nanoseconds.
 	lastReceived atomic.Int64
-	// isDropped is set if the connection was closed because its path is silent.
-	isDropped atomic.Bool
+	// isAnswering is set while the body of an answer is read, isDropped if the request is to end because the path is silent.
+	isAnswering, isDropped atomic.Bool
 	// reused means that an earlier request was answered on the connection.
 	reused bool
 	// idleUntil is when the connection expires; set while it is idle.
@@ -173,9 +173,9 @@
 
 // Read implements io.Reader.
 func (r *receiver) Read(p []byte) (int, error) {
-	n, err := r.conn.Conn.Read(p)
+	n, err := r.conn.read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.conn.extend() {
-		n, err = r.conn.Conn.Read(p)
+		n, err = r.conn.read(p)
 	}
 	if n > 0 {
 		now := time.Now().UnixNano()
@@ -188,13 +188,33 @@
 	return n, err
 }
 
+// read reads from the connection; a dropped one is at its deadline.
+func (c *conn) read(p []byte) (int, error) {
+	if c.isDropped.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
 // extend moves the deadline of a read that has reached it, and reports whether the read goes on.
 func (c *conn) extend() bool {
 	if c.onSilence == nil {
 		return false
 	}
 	until, goesOn := c.onSilence()
-	return goesOn && c.SetReadDeadline(until) == nil
+	if !goesOn {
+		return false
+	}
+	c.isDropped.Store(false)
+	return c.SetReadDeadline(until) == nil
+}
+
+// drop ends the request on a connection whose path is silent. Once its answer has begun, the reader decides whether the request stays.
+func (c *conn) drop() {
+	c.isDropped.Store(true)
+	if !c.isAnswering.Load() || c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		_ = c.Close()
+	}
 }
 
 // DropSilent closes the connections on silent paths on which nothing has arrived for silentTimeout, and later those on which nothing arrives from now on, if their
@@ -215,8 +235,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range silent {
-		c.isDropped.Store(true)
-		_ = c.Close()
+		c.drop()
 	}
 }
 
