--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -53,7 +53,8 @@
 	timer = time.AfterFunc(d.answerTimeout(), func() {
 		mu.Lock()
 		defer mu.Unlock()
-		if isEnded {
+		if isEnded || !time.Now().Before(d.deadline) {
+			// The deadline ends the attempt by itself.
 			return
 		}
 		if until, goesOn := d.awaitLonger(ctx); goesOn {
