--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -86,6 +86,8 @@
 	isProbe bool
 	// hasGivenUpServer is set once a server was given up for its silence.
 	hasGivenUpServer bool
+	// loggedWait is the number of the attempt during or after which the request was last logged to wait.
+	loggedWait int
 	// isReserved is set once the next attempt was reserved while the current one went on.
 	isReserved bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
@@ -158,6 +160,7 @@
 		}
 		if refused != nil {
 			if d.mayWait(refused) {
+				d.logWait("stream waits", refused.reason)
 				sleep.For(ctx, begunStreamDelay)
 				continue
 			}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -16,22 +16,42 @@
 	if !now.Before(d.deadline) {
 		return time.Time{}, false
 	}
-	if d.reserveAttempt(ctx) {
+	obstacle := d.reserveAttempt(ctx)
+	if obstacle == "" {
 		d.hasGivenUpServer = true
 		return time.Time{}, false
 	}
+	d.logWait("silent server kept", obstacle)
 	if until = now.Add(silenceCheckInterval); until.After(d.deadline) {
 		until = d.deadline
 	}
 	return until, true
 }
 
-// reserveAttempt reports whether a further attempt may follow on the current one, and reserves it if so.
-func (d *dispatcher) reserveAttempt(ctx context.Context) bool {
-	if !d.isReserved && !d.isLastAttempt() && d.hasServer() && d.checkAttempt(ctx, true) == nil {
-		d.isReserved = true
+// reserveAttempt reserves a further attempt, which follows on the current one, or returns the reason why there may be none.
+func (d *dispatcher) reserveAttempt(ctx context.Context) (obstacle string) {
+	switch {
+	case d.isReserved:
+		return ""
+	case d.isLastAttempt():
+		return reasonAttempts
+	case !d.hasServer():
+		return reasonNoServer
 	}
-	return d.isReserved
+	if refused := d.checkAttempt(ctx, true); refused != nil {
+		return refused.reason
+	}
+	d.isReserved = true
+	return ""
+}
+
+// logWait logs that the request waits, once for each attempt.
+func (d *dispatcher) logWait(message, reason string) {
+	if d.loggedWait == d.attempts {
+		return
+	}
+	d.loggedWait = d.attempts
+	d.logEvent(message, reason)
 }
 
 // returnReservation gives back the reservation of an attempt that wasn't made.
