Serve the connections that wait to be accepted at the end of a listener

Callers whose connections the kernel had opened, and whose requests had arrived, got a reset when a stopping node closed its listener: on a node that stands still for its share of a core, all that came meanwhile.

Cause: closing a listener resets the connections in its queue.

TestConnectionsInTheKernelsQueueAreServed failed before (EOF or reset of the first connection), and passes.

--- a/internal/connguard/drain.go
+++ b/internal/connguard/drain.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"os"
 	"time"
 )
@@ -24,7 +26,6 @@
 	l.mu.Lock()
 	if l.drained == nil {
 		l.drained, l.drainsFrom = make(chan struct{}), time.Now()
-		l.checkDrained()
 		for _, queue := range []*list.List{l.unproven, l.idle} {
 			for e := queue.Front(); e != nil; e = e.Next() {
 				// It fails only if the connection is closed already.
@@ -34,8 +35,9 @@
 	}
 	drained := l.drained
 	l.mu.Unlock()
-	// An error means that the listener is closed already.
-	_ = l.Listener.Close()
+	if err := l.setAcceptDeadline(time.Now()); err != nil {
+		_ = l.Listener.Close()
+	}
 	select {
 	case <-drained:
 		return nil
@@ -44,9 +46,34 @@
 	}
 }
 
-// checkDrained ends Drain if no connection is left. The caller holds the lock.
+// setAcceptDeadline sets the deadline for accepting connections; it fails if the listener has none, or is closed already.
+func (l *Listener) setAcceptDeadline(deadline time.Time) error {
+	inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return inner.SetDeadline(deadline)
+}
+
+// acceptLast accepts a connection that the kernel has opened before the listener is closed, which would reset it. If there is none, it closes the listener and
+// returns http.ErrServerClosed. err is that of the accept that failed.
+func (l *Listener) acceptLast(err error) (net.Conn, error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(l.drainsFrom) < keptConnWait && l.setAcceptDeadline(time.Now().Add(lastReadWait)) == nil {
+		if accepted, err := l.Listener.Accept(); err == nil {
+			return accepted, nil
+		}
+	}
+	_ = l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isRefused = true
+	l.checkDrained()
+	return nil, http.ErrServerClosed
+}
+
+// checkDrained ends Drain if no connection is left or accepted. The caller holds the lock.
 func (l *Listener) checkDrained() {
-	if l.conns == 0 && l.drained != nil && !l.isDrained {
+	if l.conns == 0 && l.isRefused && l.drained != nil && !l.isDrained {
 		l.isDrained = true
 		close(l.drained)
 	}
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -86,10 +86,10 @@
 	// unproven and idle hold the connections without a request, of which the latter have had one, and ahead those whose clients send on before their requests are
 	// answered, and unread those whose request's body has yet to come; those that have waited longest come first.
 	unproven, ahead, idle, unread *list.List
-	// drained is closed, and isDrained set, once no connection is left after Drain was called at drainsFrom; it is nil before.
-	drained    chan struct{}
-	isDrained  bool
-	drainsFrom time.Time
+	// drained is closed, and isDrained set, once no connection is left or accepted after Drain was called at drainsFrom; it is nil before.
+	drained              chan struct{}
+	isDrained, isRefused bool
+	drainsFrom           time.Time
 }
 
 // New returns a listener that wraps another one.
@@ -101,10 +101,10 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
+		if err != nil && l.isDraining() {
+			accepted, err = l.acceptLast(err)
+		}
 		if err != nil {
-			if l.isDraining() {
-				err = http.ErrServerClosed
-			}
 			return nil, err
 		}
 		c := &conn{Conn: accepted, listener: l}
