--- a/internal/connguard/drain.go
+++ b/internal/connguard/drain.go
@@ -58,7 +58,7 @@
 // acceptLast accepts a connection that the kernel has opened before the listener is closed, which would reset it. If there is none, it closes the listener and
 // returns http.ErrServerClosed. err is that of the accept that failed.
 func (l *Listener) acceptLast(err error) (net.Conn, error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(l.drainsFrom) < keptConnWait && l.setAcceptDeadline(time.Now().Add(lastReadWait)) == nil {
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(l.drainsFrom) < newConnWait && l.setAcceptDeadline(time.Now().Add(lastReadWait)) == nil {
 		if accepted, err := l.Listener.Accept(); err == nil {
 			return accepted, nil
 		}
