Drain until the connections accepted as it begins have ended

What callers see: a node that stops closes a connection in the middle of a request (LOST), if it had no connection as Drain began and accepted one just then.

Cause: Drain counted the connections before it closed the listener, and counted as ended with none. One that is accepted between the two is served, and cut off as the node ends.

One that was accepted by then and isn't counted yet, since its goroutine has not gone on, is refused with 503 if Drain has ended: it has not been read.

Failed before:

--- FAIL: TestDrainWaitsForConnectionsAcceptedAsItBegins (0.00s) drain_race_test.go:67: got nil value but want non-nil Drain has ended, and the server has a connection

--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -121,7 +121,8 @@
 func (l *Listener) add(c *conn) bool {
 	l.mu.Lock()
 	ended := l.makeRoom(1, connBytes, nil)
-	hasRoom := l.conns < l.opts.MaxConns && l.bytes+connBytes <= l.opts.MaxBytes
+	// Nothing waits any more for a connection that comes after the end of Drain.
+	hasRoom := !l.isDrained && l.conns < l.opts.MaxConns && l.bytes+connBytes <= l.opts.MaxBytes
 	if hasRoom {
 		l.conns++
 		c.bytes = connBytes
