Tell callers that their connections end when their answers begin

What callers see: the answer to a request that came before a stop and begins within it doesn't say "Connection: close". Their next request meets the end of the connection, 100 ms after the answer.

Cause: the header was set when a request came. After the listener had closed, http.Server.Shutdown had made net/http add it to each answer; Drain doesn't.

Change: the header is set when the head of an answer or rejection is sent.

Failed before:

--- FAIL: TestAnswersInAStopCloseTheirConnections --- FAIL: .../before_the_listener_closes value is not true --- FAIL: .../after_the_listener_has_closed value is not true

Result: both pass. Passed: gateway, upstream, edge (68 s).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -46,11 +46,15 @@
 	framing  framing.Framing
 	// isHeadSent is set once the head was sent.
 	isHeadSent atomic.Bool
+	// amendHeader changes the header before it is sent.
+	amendHeader func(header http.Header)
 }
 
-func newCallerAnswer(w http.ResponseWriter, req *http.Request) *callerAnswer {
+func newCallerAnswer(w http.ResponseWriter, req *http.Request, amendHeader func(header http.Header)) *callerAnswer {
 	conn, _ := req.Context().Value(connKey{}).(lingerer)
-	return &callerAnswer{w: w, control: http.NewResponseController(w), conn: conn, canChunk: req.ProtoAtLeast(1, 1)}
+	return &callerAnswer{
+		w: w, control: http.NewResponseController(w), conn: conn, canChunk: req.ProtoAtLeast(1, 1), amendHeader: amendHeader,
+	}
 }
 
 // sendHead sends the head of an answer. The answer has the framing of the server's answer, so that its end shows the caller no more than the
@@ -58,6 +62,7 @@
 func (a *callerAnswer) sendHead(status int, header http.Header, server framing.Framing) {
 	a.isHeadSent.Store(true)
 	copyAnswerHeader(a.w.Header(), header)
+	a.amendHeader(a.w.Header())
 	a.framing = server
 	if server == framing.Chunked && !a.canChunk {
 		a.framing = framing.Close
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,13 @@
 	time.AfterFunc(time.Until(end)-endMargin, g.endWaiting)
 }
 
+// closeIfStopping tells the caller of an answer whose head is about to be sent that its connection ends if the node stops.
+func (g *Gateway) closeIfStopping(header http.Header) {
+	if g.stopping.Load() != nil {
+		header.Set("Connection", "close")
+	}
+}
+
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.running.Load() }
 
@@ -153,9 +160,6 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	arrived := time.Now()
-	if g.stopping.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	info := g.opts.HeaderCodec.ReadRequest(req.Header)
 	// Reset the write deadline, which a connection keeps from its previous request. The error only means that the writer has no
 	// deadline, as in tests.
@@ -188,7 +192,7 @@
 	defer end(nil)
 	ctx, cancel := context.WithDeadline(ctx, admitted.deadline)
 	defer cancel()
-	answer := newCallerAnswer(w, req)
+	answer := newCallerAnswer(w, req, g.closeIfStopping)
 	defer context.AfterFunc(g.ending, func() {
 		if !answer.isHeadSent.Load() && !admitted.deadline.Before(g.stopping.Load().end) {
 			end(errStopEnds)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -65,6 +65,7 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	g.closeIfStopping(w.Header())
 	w.Header()["Content-Type"] = nil
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(rejection.status)
