Keep answers of low confidence while no larger model may answer

Callers get a 502 although a server has answered: the answer is dropped for a larger model, and then no attempt at it is allowed.

Cause: escalate asked the route's attempts and the retry budget only. The age of the keys, the servers, the attempts in all and suspected crashes were asked once the answer was dropped.

Change: the attempt is reserved first, as for a server's silence. The reservation draws on the retry budget, as escalate did.

Failed before, each with status 502 instead of 200:

--- FAIL: TestAnswerIsKeptIfNoLargerModelMayAnswer --- FAIL: .../keys_may_be_old --- FAIL: .../the_only_server_drains --- FAIL: .../all_attempts_but_one_rejected

Result: all pass, and so do the other tests of escalations. Passed: gateway, edge (68 s).

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -107,13 +107,13 @@
 }
 
 // escalate decides by an answer's confidence whether a larger model is to answer instead; it then selects that model and reports true.
-// An answer can only be replaced before any part of it was sent to the caller, and if the request may run twice.
-func (d *dispatcher) escalate(info AnswerInfo) bool {
-	if d.model == "" || !d.route.MayRepeat() || !info.HasConfidence || d.answer.isHeadSent.Load() || d.possibleRuns+1 >= d.route.MaxAttempts {
+// An answer can only be replaced before any part of it was sent to the caller, and if another attempt is allowed.
+func (d *dispatcher) escalate(ctx context.Context, info AnswerInfo) bool {
+	if d.model == "" || !info.HasConfidence || d.answer.isHeadSent.Load() {
 		return false
 	}
 	next := d.g.opts.ModelPolicy.Next(d.route.Models, d.modelIndex, info.Confidence, d.priority(), d.utilization)
-	if next == d.modelIndex || !d.g.opts.RetryBudget.AllowRetry(d.service.Name, time.Now()) {
+	if next == d.modelIndex || d.reserveAttempt(ctx) != "" {
 		return false
 	}
 	d.countEscalation(d.model)
@@ -182,7 +182,7 @@
 		case resultDone:
 			return
 		case resultEscalated:
-			// escalate has already drawn on the retry budget for the next attempt.
+			// escalate has already reserved the next attempt.
 			d.possibleRuns++
 			d.triedServers = nil
 			isRetry = false
@@ -301,7 +301,7 @@
 		}
 		d.observeFill(server)
 		d.observeFirstEvent(server, time.Since(startedAt))
-		if d.escalate(info) {
+		if d.escalate(ctx, info) {
 			server.RecordSuccess()
 			d.logEvent("model escalated", fmt.Sprintf("confidence %d at load %.2f", info.Confidence, d.utilization))
 			return resultEscalated
