Return the reservations of attempts that are no retries

What callers see: a server's failure where a retry would have succeeded. One request for which no connection opened in time had used up the retry budget.

Cause: while the first attempt opens its connection, the watch of the head reserves the next one, which draws on the budget. The connection is then given up, no byte was sent, and the next attempt is no retry either: nothing returned what was drawn, up to seven times a request.

Change: where such an attempt ends unsent, the reservation is returned.

--- FAIL: TestUnsentAttemptsLeaveTheRetryBudget (0.09s) unsent_attempts_test.go:38: got 500, want 200

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -173,6 +173,9 @@
 		if result == resultNotSent {
 			if isRetry {
 				d.g.opts.RetryBudget.ReturnRetry(d.service.Name, d.retryCountedAt, time.Now())
+			} else {
+				// The next attempt is no retry either.
+				d.returnReservation()
 			}
 			sleep.For(ctx, d.notRunDelay())
 			continue
