Stop nodes that have no address for callers

What operators see: a node whose settings have no listen.front, which is optional, panics on SIGTERM (invalid memory address).

Cause: the stop drains the listener for callers, which isn't there.

Change: it does so only if there is one.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -299,8 +299,11 @@
 		n.log.WithError(err).Warn("could not remove node from the list; its lease will expire")
 	}
 	sleep.For(ctx, time.Until(begin.Add(share(acceptConnectionsShare))))
-	if err := n.guards.listeners[callersListener].Drain(ctx); err != nil {
-		n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
+	// The settings may name no address for callers.
+	if callers, ok := n.guards.listeners[callersListener]; ok {
+		if err := callers.Drain(ctx); err != nil {
+			n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
+		}
 	}
 	n.tunnels.Wait(ctx)
 	n.logClosed()
