Wait longer each time before a begun stream asks a full server again

Other requests whose servers failed were handed the failure on, since one begun stream used up its node's retries: it asked a full server each 250 ms, and each arrival draws on the budget that all requests share.

The wait doubles up to 2 s.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,8 +25,10 @@
 	maxTotalAttempts = 8
 	// notRunDelay is the wait before the next attempt after one that was certainly not run.
 	notRunDelay = 10 * time.Millisecond
-	// begunStreamDelay is that wait for a begun stream that has made maxTotalAttempts, or for which no attempt is allowed.
-	begunStreamDelay = 250 * time.Millisecond
+	// minBegunStreamDelay is that wait for a begun stream that has made maxTotalAttempts, or for which no attempt is allowed. It doubles up to maxBegunStreamDelay,
+	// since each attempt that a server rejects draws on the retry budget of all requests.
+	minBegunStreamDelay = 250 * time.Millisecond
+	maxBegunStreamDelay = 2 * time.Second
 )
 
 // dispatcher serves one admitted request by attempts at one server after the other.
@@ -88,6 +90,8 @@
 	hasGivenUpServer bool
 	// loggedWait is the number of the attempt during or after which the request was last logged to wait.
 	loggedWait int
+	// begunStreamDelay is the last wait of a begun stream; 0 before the first one.
+	begunStreamDelay time.Duration
 	// isReserved is set once the next attempt was reserved while the current one went on.
 	isReserved bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
@@ -161,7 +165,7 @@
 		if refused != nil {
 			if d.mayWait(refused) {
 				d.logWait("stream waits", refused.reason)
-				sleep.For(ctx, begunStreamDelay)
+				sleep.For(ctx, d.nextBegunStreamDelay())
 				continue
 			}
 			d.failRequest(refused)
@@ -242,11 +246,17 @@
 // notRunDelay returns the wait before the next attempt after one that was certainly not run.
 func (d *dispatcher) notRunDelay() time.Duration {
 	if d.attempts >= maxTotalAttempts {
-		return begunStreamDelay
+		return d.nextBegunStreamDelay()
 	}
 	return notRunDelay
 }
 
+// nextBegunStreamDelay returns the next wait of a begun stream.
+func (d *dispatcher) nextBegunStreamDelay() time.Duration {
+	d.begunStreamDelay = min(max(2*d.begunStreamDelay, minBegunStreamDelay), maxBegunStreamDelay)
+	return d.begunStreamDelay
+}
+
 // mayWait reports whether a begun stream waits until it may go on, instead of ending for a rejection. Where the rejection is this node's alone, its caller is better
 // off at another node, unless the server that this node has given up might have sent the rest.
 func (d *dispatcher) mayWait(refused *rejection) bool {
