--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,10 @@
 	defaultDeadline = 30 * time.Second
 	// initialConfigTimeout is how long a request waits for the first confirmed configuration after the node has started.
 	initialConfigTimeout = 500 * time.Millisecond
-	// endMargin is how long before a stop breaks off the requests in flight those whose answers have not begun are ended with an error.
-	endMargin = 400 * time.Millisecond
+	// maxEndMargin is how long before a stop breaks off the requests in flight those whose answers have not begun are ended with an error, at most
+	// endMarginShare of the time that the stop takes.
+	maxEndMargin   = 400 * time.Millisecond
+	endMarginShare = 0.1
 	// writeMargin is how long after the request's deadline an answer may still be written to a caller that reads slowly.
 	writeMargin = time.Second
 )
@@ -111,7 +113,7 @@
 	opts Options
 	// stopping is nil until Stop is called.
 	stopping atomic.Pointer[stopDeadlines]
-	// ending is canceled by endWaiting, endMargin before a stop's end.
+	// ending is canceled by endWaiting, shortly before a stop's end.
 	ending     context.Context
 	endWaiting context.CancelFunc
 
@@ -142,7 +144,8 @@
 // error.
 func (g *Gateway) Stop(allUntil, end time.Time) {
 	g.stopping.Store(&stopDeadlines{allUntil: allUntil, end: end})
-	time.AfterFunc(time.Until(end)-endMargin, g.endWaiting)
+	left := time.Until(end)
+	time.AfterFunc(left-min(maxEndMargin, time.Duration(endMarginShare*float64(left))), g.endWaiting)
 }
 
 // closeIfStopping tells the caller of an answer whose head is about to be sent that its connection ends if the node stops.
