Stop nodes in a soak while their callers use open connections

TestStopSoak stops four nodes in turn for 12 s while settings files change, SIGHUP and SIGTERM come in series, configurations change and the store is out. Two of the nodes run for a tenth of the time. A request is lost if a server has run it, or if its connection ends later than 200 ms after its last byte, and it has no whole answer.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 SOAK_SEEDS ?= 1
 export SOAK_SEED SOAK_SECONDS SOAK_NODES SOAK_FAULTS SOAK_FAILED
 soak:
-	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^Test(Edge)?Soak$$' -v
+	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -count=1 -timeout 4h ./internal/soak -run '^Test(Edge|Stop)?Soak$$' -v
 
 # crowds lets clients that keep no limits loose on a node's process, apart from other load.
 crowds:
