Let crowds keep a node's queue of new connections full

The crowds' cases may now have a configuration, a limit of memory and entries in the store of their own.

--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,6 +45,13 @@
 	// untrustedCallersEnv has to be set for the crowds, since the process must not share its machine with other tests.
 	untrustedCallersEnv = "UNTRUSTED_CALLERS"
 
+	// callersPort, readinessPort, addressesPort, peersPort and metricsPort are those of the listeners.
+	callersPort   = 8001
+	readinessPort = 8002
+	addressesPort = 8003
+	peersPort     = 8004
+	metricsPort   = 8005
+
 	crowdSettings = `nodeName = "edge-a-1"
 zone = "a"
 ip = "%[1]s"
@@ -86,8 +94,17 @@
 	send  func(conn net.Conn)
 	// port is the listener's; 0 means that of callers.
 	port int
+	// memoryMB is the limit of the process's memory; 0 means crowdMemoryMB.
+	memoryMB int
+	// configuration is crowdConfiguration if empty.
+	configuration string
+	// prepare, which may be nil, writes further entries to the store.
+	prepare func(store *platformfake.Store)
 }
 
+// memoryLimit returns the limit of the process's memory in bytes.
+func (t *crowdCase) memoryLimit() int { return cmp.Or(t.memoryMB, crowdMemoryMB) << 20 }
+
 // repeat sends a head and then a piece without end, until the node stops reading.
 func repeat(head, piece string) func(net.Conn) {
 	return func(conn net.Conn) {
@@ -169,14 +186,14 @@
 	for _, listener := range []struct {
 		name string
 		port int
-	}{{"readiness", 8002}, {"addresses", 8003}, {"peers", 8004}, {"metrics", 8005}} {
+	}{{"readiness", readinessPort}, {"addresses", addressesPort}, {"peers", peersPort}, {"metrics", metricsPort}} {
 		cases = append(cases,
 			crowdCase{name: "heads over the limit, " + listener.name, files: ampleFiles, send: hold("GET / HTTP/1.1\r\n" + long), port: listener.port},
 			crowdCase{name: "short fields over the limit, " + listener.name, files: ampleFiles, send: hold("GET / HTTP/1.1\r\n" + shortFields(overLimit)), port: listener.port},
 			crowdCase{name: "connections without a request, " + listener.name, files: crowdFiles, send: hold(""), port: listener.port},
 		)
 	}
-	return cases
+	return append(cases, edgeCrowdCases()...)
 }
 
 // TestUntrustedCallers lets a crowd of clients that nobody controls loose on a node's process: the process lives within its memory and descriptors, and an
@@ -186,30 +203,27 @@
 		t.Skipf("make crowds runs it apart from other tests, and sets %s", untrustedCallersEnv)
 	}
 	for _, test := range crowdCases() {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			node := startCrowdedNode(c, test.files)
-			port := test.port
-			if port == 0 {
-				port = 8001
-			}
-			ctx, endCrowd := context.WithTimeout(context.Background(), crowdTime)
-			defer endCrowd()
-			crowd := startCrowd(ctx, fmt.Sprintf("%s:%d", node.ip, port), test.send)
-			peak := node.watch(ctx)
-			// The crowd's last connections are open while the ordinary caller asks.
-			status, body := node.callOrdinary()
-			crowd.close()
-			c.Logf("memory %d KiB at most (%d KiB resident, %d KiB unread), %d sockets at most", (peak.resident+peak.unread)>>10, peak.resident>>10, peak.unread>>10, peak.sockets)
-			c.Check(node.isRunning(), qt.IsTrue)
-			c.Check(status, qt.Equals, http.StatusOK)
-			c.Check(body, qt.Equals, "answer of s0")
-			c.Check(peak.resident+peak.unread <= crowdMemoryMB<<20, qt.IsTrue, qt.Commentf("%d KiB of memory", (peak.resident+peak.unread)>>10))
-			c.Check(peak.sockets <= test.files-reservedFiles, qt.IsTrue, qt.Commentf("%d sockets", peak.sockets))
-		})
+		t.Run(test.name, func(t *testing.T) { test.run(qt.New(t)) })
 	}
 }
 
+func (t *crowdCase) run(c *qt.C) {
+	node := startCrowdedNode(c, t)
+	ctx, endCrowd := context.WithTimeout(context.Background(), crowdTime)
+	defer endCrowd()
+	crowd := startCrowd(ctx, fmt.Sprintf("%s:%d", node.ip, cmp.Or(t.port, callersPort)), t.send)
+	peak := node.watch(ctx)
+	// The crowd's last connections are open while the ordinary caller asks.
+	status, body := node.callOrdinary()
+	crowd.close()
+	c.Logf("memory %d KiB at most (%d KiB resident, %d KiB unread), %d sockets at most", (peak.resident+peak.unread)>>10, peak.resident>>10, peak.unread>>10, peak.sockets)
+	c.Check(node.isRunning(), qt.IsTrue)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(body, qt.Equals, "answer of s0")
+	c.Check(peak.resident+peak.unread <= t.memoryLimit(), qt.IsTrue, qt.Commentf("%d KiB of memory", (peak.resident+peak.unread)>>10))
+	c.Check(peak.sockets <= t.files-reservedFiles, qt.IsTrue, qt.Commentf("%d sockets", peak.sockets))
+}
+
 // crowdedNode is a node's process that a crowd uses.
 type crowdedNode struct {
 	c      *qt.C
@@ -219,7 +233,7 @@
 	out    bytes.Buffer
 }
 
-func startCrowdedNode(c *qt.C, files int) *crowdedNode {
+func startCrowdedNode(c *qt.C, test *crowdCase) *crowdedNode {
 	node := &crowdedNode{c: c, ip: ownLoopbackIP(), exited: make(chan struct{})}
 	store := platformfake.NewStore()
 	c.TB.Cleanup(store.Close)
@@ -230,11 +244,14 @@
 		}
 		return &platformfake.Script{Status: http.StatusOK, Text: large, Framing: framing.Length, IsFramedEnd: true}
 	}})
-	store.Put("op/config", []byte(crowdConfiguration))
+	store.Put("op/config", []byte(cmp.Or(test.configuration, crowdConfiguration)))
 	store.Put("servers/s0", fmt.Appendf(nil,
 		`{"service":"calls","address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,"sequence":1,"born":1}`, listen(c, server)))
+	if test.prepare != nil {
+		test.prepare(store)
+	}
 	settings := filepath.Join(c.TB.TempDir(), "local.toml")
-	c.Assert(os.WriteFile(settings, fmt.Appendf(nil, crowdSettings, node.ip, crowdMemoryMB, files, listen(c, store)), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(settings, fmt.Appendf(nil, crowdSettings, node.ip, test.memoryLimit()>>20, test.files, listen(c, store)), 0o600), qt.IsNil)
 	node.cmd = exec.Command(os.Args[0], "edge", "--settings", settings, "--metrics-listen", node.ip+":8005")
 	node.cmd.Env = append(os.Environ(), runProgramEnv+"=1")
 	node.cmd.Stdout, node.cmd.Stderr = &node.out, &node.out
