Bound what the kernel holds of connections that wait to be accepted

A node that has no processor time left accepts new connections late. Each of those that wait held 118 KB that had arrived, and up to 4096 of them wait; buffers of accepted ones grew with what their clients sent. If the settings limit the memory, listeners now have receive buffers of 32 KiB, what the guard counts for a connection anyway, and as many connections wait as may be open.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -130,7 +130,7 @@
 	}
 	l.leaveQueue(c)
 	c.isBegun = true
-	if c.bytes == connBytes {
+	if c.bytes == ConnBytes {
 		// The head came together with the request before, and wasn't counted.
 		fields := fieldBytes(header)
 		c.bytes += fields
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -17,8 +17,8 @@
 var Error = errs.Class("connguard")
 
 const (
-	// connBytes is what a connection without a head takes: its goroutine, its buffers, and bytes that have arrived and are not read.
-	connBytes = 32 << 10
+	// ConnBytes is what a connection without a head takes: its goroutine, its buffers, and bytes that have arrived and are not read.
+	ConnBytes = 32 << 10
 	// headByteFactor is the memory that a byte of a head takes in a buffer, and again in its fields, headLineBytes that of a field beside its text.
 	headByteFactor = 2
 	headLineBytes  = 400
@@ -120,13 +120,13 @@
 // add makes room for a connection, and reports false if there is none.
 func (l *Listener) add(c *conn) bool {
 	l.mu.Lock()
-	ended := l.makeRoom(1, connBytes, nil)
+	ended := l.makeRoom(1, ConnBytes, nil)
 	// Nothing waits any more for a connection that comes after the end of Drain.
-	hasRoom := !l.isDrained && l.conns < l.opts.MaxConns && l.bytes+connBytes <= l.opts.MaxBytes
+	hasRoom := !l.isDrained && l.conns < l.opts.MaxConns && l.bytes+ConnBytes <= l.opts.MaxBytes
 	if hasRoom {
 		l.conns++
-		c.bytes = connBytes
-		l.bytes += connBytes
+		c.bytes = ConnBytes
+		l.bytes += ConnBytes
 		c.waitsFrom = time.Now()
 		c.place, c.queue = l.unproven.PushBack(c), l.unproven
 	}
@@ -301,8 +301,8 @@
 			return
 		}
 		l.leaveQueue(c)
-		l.bytes -= c.bytes - connBytes
-		c.bytes, c.headBytes, c.isHandedOver, c.isBegun, c.waitsFrom = connBytes, 0, false, false, time.Now()
+		l.bytes -= c.bytes - ConnBytes
+		c.bytes, c.headBytes, c.isHandedOver, c.isBegun, c.waitsFrom = ConnBytes, 0, false, false, time.Now()
 		c.place, c.queue = l.idle.PushBack(c), l.idle
 	}
 }
--- a/internal/edge/guards.go
+++ b/internal/edge/guards.go
@@ -14,6 +14,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/metric"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
 const (
@@ -65,8 +66,12 @@
 		// Operators' limits are those of callers.
 		limits = defaultHeadLimits
 	}
+	maxConns := max(minGuardedConns, int(share*conns))
+	if resources.MemoryBytes > 0 {
+		n.boundQueue(name, listener, min(maxConns, max(minGuardedConns, int(share*memory/connguard.ConnBytes))))
+	}
 	guarded := connguard.New(connguard.Options{
-		Listener: listener, MaxConns: max(minGuardedConns, int(share*conns)), MaxBytes: int64(share * memory), Limits: limits,
+		Listener: listener, MaxConns: maxConns, MaxBytes: int64(share * memory), Limits: limits,
 		Count: func(cause connguard.Cause) { n.countClosed(name, cause) },
 	})
 	n.guards.listeners[name] = guarded
@@ -78,6 +83,13 @@
 	}}
 }
 
+// boundQueue bounds the connections that a listener hasn't accepted yet, and what is unread on each connection.
+func (n *Node) boundQueue(name string, listener net.Listener, maxConns int) {
+	if err := tcp.BoundQueue(listener, maxConns, connguard.ConnBytes); err != nil {
+		n.log.WithField("listener", name).WithError(err).Warn("could not bound the queue of new connections")
+	}
+}
+
 // defaultHeadLimits returns the limits of a request's head that operators don't set.
 func defaultHeadLimits() connguard.Limits {
 	return connguard.Limits{MaxHeadBytes: MaxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
