Bound the bodies of the calls that read a node's store

The node held all of a text in such a body to decode it. The calls have four numbers and flags; their bodies are now read up to 4 KiB.

Failed before: text without end, peers, 418 and 829 MB. Now 46 and 47 MB.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,8 @@
 	// callTimeout bounds the time to the first byte of an answer, in addition to the call's wait for changes, and each pause within the
 	// answer; the latency between nodes is milliseconds.
 	callTimeout = 400 * time.Millisecond
+	// maxRequestBytes bounds the body of a call.
+	maxRequestBytes = 4 << 10
 	// maxTransfer bounds the transfer of an answer.
 	maxTransfer = 5 * time.Second
 	// maxAnswerBytes bounds an answer, which can be a complete copy of the store.
@@ -128,7 +130,7 @@
 	handle := func(path string, read func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 			var request pollRequest
-			if err := json.NewDecoder(req.Body).Decode(&request); err != nil {
+			if err := json.NewDecoder(io.LimitReader(req.Body, maxRequestBytes)).Decode(&request); err != nil {
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
