--- a/internal/cmd/untrusted_edge_test.go
+++ b/internal/cmd/untrusted_edge_test.go
@@ -11,5 +11,9 @@
 			name: "text without end, peers", files: ampleFiles, port: peersPort,
 			send: repeat("POST /v1/store/list HTTP/1.1\r\nHost: peers\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"Name\":\"\r\n", "1000\r\n"+strings.Repeat("a", 4<<10)+"\r\n"),
 		},
+		{
+			name: "sessions without end, peers", files: ampleFiles, port: peersPort,
+			send: repeat("POST /v1/rollouts/report HTTP/1.1\r\nHost: peers\r\nContent-Length: 100000000\r\n\r\n{\"Report\":{\"Sessions\":[1", ",1"),
+		},
 	}
 }
