Bound the memory of reports about roll-outs

Each report was decoded up to 4 MiB, which takes several times its text, and as many at once as other nodes' connections may be open. Their texts now have a budget and two seconds, they are decoded one at a time, and one that consists of more parts than a node's is rejected.

--- a/internal/rolloutrpc/rolloutrpc.go
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -2,17 +2,20 @@
 package rolloutrpc
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/monsoonrail/monsoonrail/internal/httpjson"
+	"github.com/monsoonrail/monsoonrail/internal/membudget"
 	"github.com/monsoonrail/monsoonrail/internal/route"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
@@ -29,6 +32,11 @@
 	maxTransfer = 2 * time.Second
 	// maxBytes bounds the bodies of a report and of its response, in bytes.
 	maxBytes = 4 << 20
+	// maxHeldBytes bounds the bodies of reports that a node holds; small ones don't count.
+	maxHeldBytes = 2 * maxBytes
+	// maxElements and maxObjects bound what a report consists of, which takes many times its text when it is decoded: a session's hash has up to twenty digits.
+	maxElements = maxBytes / 16
+	maxObjects  = 1 << 14
 )
 
 // Error is the class of every error of the package.
@@ -40,6 +48,12 @@
 // Error implements error.
 func (e *ErrRejected) Error() string { return fmt.Sprintf("report rejected with status %d", e.Status) }
 
+// ErrTooMany means that a report consists of more parts than a node's.
+type ErrTooMany struct{}
+
+// Error implements error.
+func (e *ErrTooMany) Error() string { return "report has too many parts" }
+
 // Report is the body of a call: a node's report about a service's roll-out.
 type Report struct {
 	Service route.Service
@@ -58,11 +72,27 @@
 	SetReport(service route.Service, node api.NodeID, report versionrollout.NodeReport) (sessions []uint64)
 }
 
-// Handle registers the handler of the call, which passes reports to collector.
+// Handle registers the handler of the call, which passes reports to collector. A report for which there is no memory left gets status 503.
 func Handle(mux *http.ServeMux, collector Collector) {
+	held, decoding := membudget.New(maxHeldBytes), new(sync.Mutex)
 	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, req *http.Request) {
+		memory := held.Reserve(req.RemoteAddr)
+		defer memory.Release()
+		// The server of net/http lifts the deadline at the body's end.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxTransfer))
+		text, err := memory.ReadSized(http.MaxBytesReader(w, req.Body, maxBytes), min(req.ContentLength, maxBytes))
+		if membudget.IsErrExceeded(err) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		report := Report{Report: versionrollout.NodeReport{Evidence: versionrollout.NewEvidence()}}
-		if err := json.NewDecoder(io.LimitReader(req.Body, maxBytes)).Decode(&report); err != nil {
+		if err == nil {
+			decoding.Lock()
+			err = decode(text, &report)
+			decoding.Unlock()
+		}
+		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -73,6 +103,14 @@
 	})
 }
 
+// decode decodes a report.
+func decode(text []byte, report *Report) error {
+	if bytes.Count(text, []byte{','}) > maxElements || bytes.Count(text, []byte{'{'}) > maxObjects {
+		return Error.Wrap(&ErrTooMany{})
+	}
+	return Error.Wrap(json.Unmarshal(text, report))
+}
+
 // Send sends a report to the collector at an address and returns its response. A status that is no success is an *ErrRejected.
 func Send(ctx context.Context, client *http.Client, address string, report Report) (ReportResponse, error) {
 	var collected ReportResponse
--- a/internal/rolloutrpc/rolloutrpc_test.go
+++ b/internal/rolloutrpc/rolloutrpc_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -122,6 +123,24 @@
 	qt.Assert(t, c.node, qt.Equals, api.NodeID(""))
 }
 
+// TestReportOfTooManyParts checks that a report which would take many times its text gets status 400.
+func TestReportOfTooManyParts(t *testing.T) {
+	c := &collector{}
+	mux := http.NewServeMux()
+	rolloutrpc.Handle(mux, c)
+	address := serve(t, mux)
+	for _, report := range []string{
+		`{"Node":"n1","Report":{"Sessions":[1` + strings.Repeat(",1", 1<<20) + `]}}`,
+		`{"Node":"n1","Report":{"Evidence":{"Target":{` + strings.Repeat(`"":{},`, 1<<15) + `"":{}}}}}`,
+	} {
+		resp, err := http.Post("http://"+address+"/v1/rollouts/report", "application/json", strings.NewReader(report))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, resp.Body.Close(), qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadRequest)
+	}
+	qt.Check(t, c.node, qt.Equals, api.NodeID(""))
+}
+
 // FuzzReport has a collector with a running roll-out read any bytes as a report: it must go on, decide, and keep the sessions that it knew.
 func FuzzReport(f *testing.F) {
 	f.Add([]byte(`{"Service":"models","Node":"n2","Report":{"Order":5,"Evidence":{"Target":{"r":{"Answers":9,"Failures":9}}},"AtOld":-1,"Sessions":[1]}}`))
