--- a/internal/cmd/untrusted_edge_test.go
+++ b/internal/cmd/untrusted_edge_test.go
@@ -1,6 +1,63 @@
 package cmd
 
-import "strings"
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/monsoonrail/monsoonrail/internal/fake/platformfake"
+)
+
+const (
+	// crowdNodes is a number of nodes that tell each other of their work, on listed addresses at which none is.
+	crowdNodes = 20
+	// engineConfiguration has a service whose nodes tell each other of their work.
+	engineConfiguration = `{"version":1,"routes":[{"name":"call","host":"app.example","prefix":"/c/","routeType":"unsafe","service":"calls",` +
+		`"maxAttempts":1,"public":true}],"services":[{"name":"calls","healthPath":"/health"},{"name":"models","healthPath":"/health",` +
+		`"engine":{"slots":8,"kvCapacityTokens":1000,"pinMs":1000,"models":[{"name":"m","cost":1}]}}],` +
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+)
+
+// listNodes writes the entries of crowdNodes to the store.
+func listNodes(store *platformfake.Store) {
+	for i := range crowdNodes {
+		store.Put(fmt.Sprintf("monsoonrail/nodes/listed-%d", i), fmt.Appendf(nil,
+			`{"Node":"listed-%[1]d","FailureDomain":"a","Callers":"127.1.1.%[1]d:8001","Peers":"127.1.1.%[1]d:8004","SharesWork":true}`, i))
+	}
+}
+
+// tellWork opens a connection for frames of work as a node with a name of its own, and goes on there.
+func tellWork(then func(net.Conn)) func(net.Conn) {
+	return func(conn net.Conn) {
+		_, err := fmt.Fprintf(conn, "GET /v1/work HTTP/1.1\r\nHost: peers\r\nConnection: Upgrade\r\nUpgrade: monsoonrail-work-1\r\nMonsoonrail-Node: crowd-%d\r\n"+
+			"Monsoonrail-Failure-Domain: a\r\nMonsoonrail-Start: 1\r\nMonsoonrail-Session: 1\r\n\r\n", rand.Uint64())
+		if err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+			then(conn)
+		}
+	}
+}
+
+// claimed returns the begin of a frame of work with the largest length.
+func claimed() string { return string(append(binary.AppendUvarint(nil, 1<<20), 1)) }
+
+// manyServers returns a frame of work at more servers than there are.
+func manyServers() string {
+	const servers = 300_000
+	const isFull, oneRequest = 1, 1 << 2
+	frame := binary.AppendUvarint([]byte{1, isFull, 0}, servers)
+	for range servers {
+		frame = append(frame, 1, oneRequest, 1)
+	}
+	return string(append(binary.AppendUvarint(nil, uint64(len(frame))), frame...))
+}
 
 // edgeCrowdCases are those of the node's listeners for others than callers, and of settings other than the usual ones.
 func edgeCrowdCases() []crowdCase {
@@ -15,5 +72,13 @@
 			name: "sessions without end, peers", files: ampleFiles, port: peersPort,
 			send: repeat("POST /v1/rollouts/report HTTP/1.1\r\nHost: peers\r\nContent-Length: 100000000\r\n\r\n{\"Report\":{\"Sessions\":[1", ",1"),
 		},
+		{
+			name: "claimed lengths of frames, peers", files: ampleFiles, port: peersPort, configuration: engineConfiguration, prepare: listNodes,
+			send: tellWork(hold(claimed())),
+		},
+		{
+			name: "work at many servers, peers", files: ampleFiles, port: peersPort, configuration: engineConfiguration, prepare: listNodes,
+			send: tellWork(repeat("", manyServers())),
+		},
 	}
 }
