Take memory for frames of work as they arrive

A node took a frame's claimed length, up to 1 MiB, before a byte of it had come. Large frames now take memory as they arrive, and all of them together have a budget.

--- a/internal/workshare/accept.go
+++ b/internal/workshare/accept.go
@@ -25,6 +25,8 @@
 
 	// maxAccepted bounds the connections of other nodes.
 	maxAccepted = 1024
+	// maxHeldFrames bounds the bytes of large frames that arrive from other nodes at a time.
+	maxHeldFrames = 4 << 20
 )
 
 // acceptedConn is a connection of another node. The exchange's mutex guards its fields.
@@ -74,7 +76,8 @@
 	defer out.stop()
 	e.add(c, out)
 	defer e.remove(c)
-	frames := frameReader{from: reader}
+	frames := frameReader{from: reader, memory: e.frames.Reserve(req.RemoteAddr)}
+	defer frames.memory.Release()
 	for {
 		// A node that is silent for longer has no part in the sums any more.
 		if conn.SetReadDeadline(time.Now().Add(2*maxIdleSilence)) != nil {
--- a/internal/workshare/exchange.go
+++ b/internal/workshare/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
+	"github.com/monsoonrail/monsoonrail/internal/membudget"
 	"github.com/monsoonrail/monsoonrail/internal/nodelist"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 	"github.com/monsoonrail/monsoonrail/internal/tcp"
@@ -97,6 +98,8 @@
 	nudged chan struct{}
 	// running are the goroutines of connections.
 	running sync.WaitGroup
+	// frames is the memory of large frames that arrive.
+	frames *membudget.Budget
 
 	mu sync.Mutex
 	// ctx ends the connections; nil while the node takes no part.
@@ -142,7 +145,7 @@
 	if opts.CountFrame == nil {
 		opts.CountFrame = func(bool, bool, int) {}
 	}
-	return &Exchange{opts: opts, start: time.Now().UnixNano(), nudged: make(chan struct{}, 1), servers: make(map[name]workload.Server)}
+	return &Exchange{opts: opts, start: time.Now().UnixNano(), nudged: make(chan struct{}, 1), frames: membudget.New(maxHeldFrames), servers: make(map[name]workload.Server)}
 }
 
 // SetServers replaces the list of servers of which this node wants to know.
--- a/internal/workshare/frame.go
+++ b/internal/workshare/frame.go
@@ -8,12 +8,16 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/membudget"
 )
 
 const (
 	// maxFrameBytes bounds a frame, maxAmount each amount in one.
 	maxFrameBytes = 1 << 20
 	maxAmount     = 1 << 40
+	// smallFrameBytes is the size up to which a frame's memory is taken before it has arrived.
+	smallFrameBytes = 4 << 10
 	// lagUnit is the unit of a frame's lag, and maxLag bounds it.
 	lagUnit = 10 * time.Millisecond
 	maxLag  = uint64(time.Hour)
@@ -121,6 +125,8 @@
 // frameReader reads frames from a connection.
 type frameReader struct {
 	from *bufio.Reader
+	// memory is that of large frames until the next one is read; nil means that it isn't bounded.
+	memory *membudget.Reservation
 	// payload and entries are the memory of the last frame.
 	payload []byte
 	entries []entry
@@ -135,8 +141,7 @@
 	if length > maxFrameBytes {
 		return frame{}, 0, Error.Wrap(&ErrMalformed{errors.New("too long")})
 	}
-	r.payload = slices.Grow(r.payload[:0], int(length))[:length]
-	if _, err := io.ReadFull(r.from, r.payload); err != nil {
+	if err := r.read(int(length)); err != nil {
 		return frame{}, 0, err
 	}
 	f, err = decodeFrame(r.payload, r.entries[:0], time.Now())
@@ -147,6 +152,21 @@
 	return f, int(length) + uvarintLen(length), err
 }
 
+// read reads a number of bytes into payload. The memory of many is taken as they arrive.
+func (r *frameReader) read(length int) error {
+	r.memory.Release()
+	if length <= smallFrameBytes {
+		r.payload = slices.Grow(r.payload[:0], length)[:length]
+		_, err := io.ReadFull(r.from, r.payload)
+		return err
+	}
+	var err error
+	if r.payload, err = r.memory.ReadAll(io.LimitReader(r.from, int64(length))); err == nil && len(r.payload) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // uvarintLen returns the number of bytes of an encoded number.
 func uvarintLen(x uint64) int {
 	return len(binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64), x))
