Bound the memory of the work that nodes tell of

A frame may mention servers that there aren't, 100 bytes of memory for each three of text, and any number of nodes may send such frames. Frames have a bound of entries now, large ones are decoded one at a time, and the rows and sums of a node have a share of its memory.

--- a/internal/edge/work.go
+++ b/internal/edge/work.go
@@ -12,14 +12,18 @@
 	"github.com/monsoonrail/monsoonrail/internal/workshare"
 )
 
-// minNodesSharingWork is the number of nodes from which they tell each other of their work at servers.
-const minNodesSharingWork = 16
+const (
+	// minNodesSharingWork is the number of nodes from which they tell each other of their work at servers.
+	minNodesSharingWork = 16
+	// workMemoryShare is the share of the machine's memory that others' work takes.
+	workMemoryShare = 0.15
+)
 
 // newWorkExchange returns the exchange by which nodes tell each other of their work at servers.
 func (n *Node) newWorkExchange() *workshare.Exchange {
 	return workshare.New(workshare.Options{
 		Self: n.opts.Settings.Node, Domain: n.opts.Settings.FailureDomain, Network: n.opts.Network, Servers: n.backends, Nodes: n.nodes.Load,
-		IsOn: n.sharesWork, CountFrame: n.countWorkFrame, Log: n.log,
+		IsOn: n.sharesWork, MaxBytes: int64(workMemoryShare * float64(n.opts.Settings.Resources.MemoryBytes)), CountFrame: n.countWorkFrame, Log: n.log,
 	})
 }
 
--- a/internal/workshare/accept.go
+++ b/internal/workshare/accept.go
@@ -83,8 +83,8 @@
 		if conn.SetReadDeadline(time.Now().Add(2*maxIdleSilence)) != nil {
 			return
 		}
-		f, n, err := frames.next()
-		if err != nil || !e.heed(c, f, n, time.Now()) {
+		n, err := frames.receive()
+		if err != nil || !e.take(c, &frames, n) {
 			return
 		}
 	}
@@ -117,6 +117,16 @@
 	delete(e.accepted, c)
 }
 
+// take decodes and heeds the frame that was received. It reports false if the connection is of no use any more.
+func (e *Exchange) take(c *acceptedConn, frames *frameReader, bytes int) bool {
+	if bytes > smallFrameBytes {
+		e.largeFrame.Lock()
+		defer e.largeFrame.Unlock()
+	}
+	f, err := frames.decode()
+	return err == nil && e.heed(c, f, bytes, time.Now())
+}
+
 // heed applies a report. It reports false if the connection is of no use any more.
 func (e *Exchange) heed(c *acceptedConn, f frame, bytes int, now time.Time) bool {
 	e.opts.CountFrame(false, c.isRemote, bytes)
@@ -126,6 +136,8 @@
 	case !e.accepted[c]:
 		return false
 	case c.isRemote:
+	case e.opts.MaxBytes > 0 && !e.ledger.hasRoom(c.source, f.entries, e.opts.MaxBytes):
+		return false
 	case f.isFull && !e.ledger.begin(c.source, c.session, now), !e.ledger.apply(c.source, c.session, f, now):
 		return false
 	}
--- a/internal/workshare/exchange.go
+++ b/internal/workshare/exchange.go
@@ -72,7 +72,7 @@
 	HearPeers(server workload.Server, peers workload.Peers)
 }
 
-// Options configures New; all fields but CountFrame and Log are required.
+// Options configures New; all fields but MaxBytes, CountFrame and Log are required.
 type Options struct {
 	Self    api.NodeID
 	Domain  api.FailureDomain
@@ -82,6 +82,8 @@
 	Nodes func() *[]nodelist.Node
 	// IsOn reports whether this node takes part now.
 	IsOn func() bool
+	// MaxBytes bounds the memory of what other nodes report; 0 means that it isn't bounded.
+	MaxBytes int64
 	// CountFrame counts a frame that is sent or received. isRemote is set for those between failure domains.
 	CountFrame func(isSent, isRemote bool, bytes int)
 	Log        log.Interface
@@ -98,8 +100,9 @@
 	nudged chan struct{}
 	// running are the goroutines of connections.
 	running sync.WaitGroup
-	// frames is the memory of large frames that arrive.
-	frames *membudget.Budget
+	// frames is the memory of large frames that arrive, and largeFrame is held while one is decoded and heeded.
+	frames     *membudget.Budget
+	largeFrame sync.Mutex
 
 	mu sync.Mutex
 	// ctx ends the connections; nil while the node takes no part.
--- a/internal/workshare/frame.go
+++ b/internal/workshare/frame.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxFrameBytes bounds a frame, maxAmount each amount in one.
+	// maxFrameBytes and maxEntries bound a frame, maxAmount each amount in one.
 	maxFrameBytes = 1 << 20
+	maxEntries    = 1 << 15
 	maxAmount     = 1 << 40
 	// smallFrameBytes is the size up to which a frame's memory is taken before it has arrived.
 	smallFrameBytes = 4 << 10
@@ -134,22 +135,36 @@
 
 // next reads a frame, which is valid until the next one is read. Times in it become those of this node's clock. n is the number of its bytes.
 func (r *frameReader) next() (f frame, n int, err error) {
+	if n, err = r.receive(); err != nil {
+		return frame{}, 0, err
+	}
+	f, err = r.decode()
+	return f, n, err
+}
+
+// receive reads a frame that decode returns. n is the number of its bytes.
+func (r *frameReader) receive() (n int, err error) {
 	length, err := binary.ReadUvarint(r.from)
 	if err != nil {
-		return frame{}, 0, err
+		return 0, err
 	}
 	if length > maxFrameBytes {
-		return frame{}, 0, Error.Wrap(&ErrMalformed{errors.New("too long")})
+		return 0, Error.Wrap(&ErrMalformed{errors.New("too long")})
 	}
 	if err := r.read(int(length)); err != nil {
-		return frame{}, 0, err
+		return 0, err
 	}
-	f, err = decodeFrame(r.payload, r.entries[:0], time.Now())
+	return int(length) + uvarintLen(length), nil
+}
+
+// decode returns the frame that was received.
+func (r *frameReader) decode() (frame, error) {
+	f, err := decodeFrame(r.payload, r.entries[:0], time.Now())
 	r.entries = f.entries
 	if cap(r.entries) > maxKeptEntries {
 		r.payload, r.entries = nil, nil
 	}
-	return f, int(length) + uvarintLen(length), err
+	return f, err
 }
 
 // read reads a number of bytes into payload. The memory of many is taken as they arrive.
@@ -180,7 +195,7 @@
 	f.isFull, f.wants = flags&1 != 0, scope(flags>>1)
 	f.lag = time.Duration(min(d.uvarint(), maxLag/uint64(lagUnit))) * lagUnit
 	length := d.uvarint()
-	if f.wants >= scopes || length > uint64(len(payload)) {
+	if f.wants >= scopes || length > min(uint64(len(payload)), maxEntries) {
 		d.isBroken = true
 	}
 	if d.isBroken {
--- a/internal/workshare/ledger.go
+++ b/internal/workshare/ledger.go
@@ -6,6 +6,12 @@
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
+const (
+	// rowBytes is the memory of a source's row, sumBytes that of a server's sum and of what is kept of it for those who are told.
+	rowBytes = 96
+	sumBytes = 512
+)
+
 // session orders the connections of a node: later starts and, of the same start, later connections are larger.
 type session struct {
 	start  int64
@@ -50,6 +56,8 @@
 type ledger struct {
 	parts map[source]*part
 	sums  map[name]*sum
+	// rows is the number of rows of all parts.
+	rows int
 	// changed is called for each server whose sum changes.
 	changed func(name)
 	// moved is called for each server at which a source's requests or their work change; it may be nil.
@@ -72,6 +80,30 @@
 	return true
 }
 
+// bytes returns the memory that parts and sums take.
+func (l *ledger) bytes() int64 { return int64(l.rows)*rowBytes + int64(len(l.sums))*sumBytes }
+
+// hasRoom reports whether the ledger stays within a number of bytes with further entries of a source.
+func (l *ledger) hasRoom(from source, entries []entry, maxBytes int64) bool {
+	if l.bytes()+int64(len(entries))*(rowBytes+sumBytes) <= maxBytes {
+		return true
+	}
+	var rows map[name]amounts
+	if p, ok := l.parts[from]; ok {
+		rows = p.rows
+	}
+	bytes := l.bytes()
+	for _, e := range entries {
+		if _, ok := rows[e.name]; !ok {
+			bytes += rowBytes
+		}
+		if _, ok := l.sums[e.name]; !ok {
+			bytes += sumBytes
+		}
+	}
+	return bytes <= maxBytes
+}
+
 // apply applies a report of a session. It reports false, and changes nothing, if that session isn't the latest or has ended.
 func (l *ledger) apply(from source, s session, f frame, now time.Time) bool {
 	p, ok := l.parts[from]
@@ -109,11 +141,13 @@
 	if difference == (amounts{}) {
 		return
 	}
+	before := len(p.rows)
 	if next == (amounts{}) {
 		delete(p.rows, n)
 	} else {
 		p.rows[n] = next
 	}
+	l.rows += len(p.rows) - before
 	s := l.sumOf(n)
 	s.fleet = s.fleet.plus(difference)
 	if from.node != "" {
--- a/internal/workshare/ledger_test.go
+++ b/internal/workshare/ledger_test.go
@@ -278,3 +278,29 @@
 	}
 	c.Check(late < (turns-settled)/10, qt.IsTrue, qt.Commentf("%d of %d turns, notable %.0f", late, turns-settled, d.notable))
 }
+
+// TestLedgerKeepsItsBound lets nodes report work until the ledger has no room, and takes the next report once one of them is gone.
+func TestLedgerKeepsItsBound(t *testing.T) {
+	const maxBytes = 100 * (rowBytes + sumBytes)
+	l, now := newLedger(func(name) {}), time.Now()
+	report := func(from source, first name) bool {
+		var entries []entry
+		for i := range name(40) {
+			entries = append(entries, entry{name: first + i, row: row{amounts: amounts{requests: 1}}})
+		}
+		if !l.hasRoom(from, entries, maxBytes) {
+			return false
+		}
+		return l.begin(from, session{start: 1}, now) && l.apply(from, session{start: 1}, frame{isFull: true, entries: entries}, now)
+	}
+	a, b, c := source{node: "a"}, source{node: "b"}, source{node: "c"}
+	qt.Assert(t, report(a, 0), qt.IsTrue)
+	qt.Assert(t, report(b, 1000), qt.IsTrue)
+	qt.Assert(t, report(c, 2000), qt.IsFalse)
+	// Rows that are known take no more memory when they are reported again.
+	qt.Assert(t, report(a, 0), qt.IsTrue)
+	l.drop(b)
+	l.forget(now)
+	qt.Assert(t, report(c, 2000), qt.IsTrue)
+	qt.Assert(t, l.bytes(), qt.Equals, int64(80*(rowBytes+sumBytes)))
+}
