--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -215,11 +215,13 @@
 	peak := node.watch(ctx)
 	// The crowd's last connections are open while the ordinary caller asks.
 	status, body := node.callOrdinary()
+	isHeard := t.port == 0 || node.askOrdinary(t.port)
 	crowd.close()
 	c.Logf("memory %d KiB at most (%d KiB resident, %d KiB unread), %d sockets at most", (peak.resident+peak.unread)>>10, peak.resident>>10, peak.unread>>10, peak.sockets)
 	c.Check(node.isRunning(), qt.IsTrue)
 	c.Check(status, qt.Equals, http.StatusOK)
 	c.Check(body, qt.Equals, "answer of s0")
+	c.Check(isHeard, qt.IsTrue, qt.Commentf("the crowd's listener answers no ordinary request"))
 	c.Check(peak.resident+peak.unread <= t.memoryLimit(), qt.IsTrue, qt.Commentf("%d KiB of memory", (peak.resident+peak.unread)>>10))
 	c.Check(peak.sockets <= t.files-reservedFiles, qt.IsTrue, qt.Commentf("%d sockets", peak.sockets))
 }
@@ -233,7 +235,15 @@
 	out    bytes.Buffer
 }
 
+// startCrowdedNode starts a node and waits until it is ready.
 func startCrowdedNode(c *qt.C, test *crowdCase) *crowdedNode {
+	node := newCrowdedNode(c, test)
+	node.awaitReady()
+	return node
+}
+
+// newCrowdedNode starts a node.
+func newCrowdedNode(c *qt.C, test *crowdCase) *crowdedNode {
 	node := &crowdedNode{c: c, ip: ownLoopbackIP(), exited: make(chan struct{})}
 	store := platformfake.NewStore()
 	c.TB.Cleanup(store.Close)
@@ -264,15 +274,19 @@
 		_ = node.cmd.Process.Kill()
 		<-node.exited
 	})
+	return node
+}
+
+func (n *crowdedNode) awaitReady() {
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(samplePause) {
-		c.Assert(time.Now().Before(end) && node.isRunning(), qt.IsTrue, qt.Commentf("the node did not become ready"))
-		resp, err := http.Get("http://" + node.ip + ":8002/monsoonrail/readiness")
+		n.c.Assert(time.Now().Before(end) && n.isRunning(), qt.IsTrue, qt.Commentf("the node did not become ready"))
+		resp, err := http.Get("http://" + n.ip + ":8002/monsoonrail/readiness")
 		if err != nil {
 			continue
 		}
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			return node
+			return
 		}
 	}
 }
@@ -307,6 +321,29 @@
 	return 0, ""
 }
 
+// askOrdinary sends an ordinary request to a listener other than that of callers, and reports whether it is answered.
+func (n *crowdedNode) askOrdinary(port int) bool {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	method, path := http.MethodGet, map[int]string{readinessPort: "/monsoonrail/readiness", addressesPort: "/monsoonrail/resolution?name=app.example", metricsPort: "/metrics"}[port]
+	if port == peersPort {
+		method, path = http.MethodPost, "/v1/store/list"
+	}
+	for range ordinaryTries {
+		req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.ip, port, path), strings.NewReader("{}"))
+		n.c.Assert(err, qt.IsNil)
+		resp, err := client.Do(req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(crowdPause)
+	}
+	return false
+}
+
 // usage is the most that a process used of something at any time; resident and unread are those of one moment.
 type usage struct{ resident, unread, sockets int }
 
--- a/internal/cmd/untrusted_edge_test.go
+++ b/internal/cmd/untrusted_edge_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/fake/platformfake"
 )
@@ -30,6 +32,30 @@
 	}
 }
 
+// listServers writes the entries of further servers to the store, which take less than 256 KiB.
+func listServers(store *platformfake.Store) {
+	const servers = 1700
+	for i := range servers {
+		store.Put(fmt.Sprintf("servers/x%d", i), fmt.Appendf(nil,
+			`{"service":"calls","address":"127.1.2.1:%d","zone":"a","version":"v1","slots":8,"state":"starting","warmupLeftMs":0,"sequence":1,"born":1}`, 10_000+i))
+	}
+}
+
+// ignore sends a request a number of times, in one piece, and reads no answers.
+func ignore(request string, times int) func(net.Conn) {
+	return func(conn net.Conn) {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4 << 10)
+		}
+		if _, err := io.WriteString(conn, strings.Repeat(request, times)); err != nil {
+			return
+		}
+		for conn.SetDeadline(time.Time{}) == nil {
+			time.Sleep(crowdPause)
+		}
+	}
+}
+
 // tellWork opens a connection for frames of work as a node with a name of its own, and goes on there.
 func tellWork(then func(net.Conn)) func(net.Conn) {
 	return func(conn net.Conn) {
@@ -80,5 +106,9 @@
 			name: "work at many servers, peers", files: ampleFiles, port: peersPort, configuration: engineConfiguration, prepare: listNodes,
 			send: tellWork(repeat("", manyServers())),
 		},
+		{
+			name: "unread answers, peers", files: ampleFiles, memoryMB: 48, port: peersPort, prepare: listServers,
+			send: ignore("POST /v1/store/list HTTP/1.1\r\nHost: peers\r\nContent-Length: 2\r\n\r\n{}", 40),
+		},
 	}
 }
