Bound the answers of a node's store that wait for their readers

Only answers from 256 KiB on were bounded. Those below were held for as long as their readers left them unread, each with its events, its copy of them and its text; all that came at once were built at once. Answers from 32 KiB on share 2 MiB now, only their text is held, for 2 s, and two are built at a time.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,13 @@
 	// readers are turned away, and ask another node.
 	minHeldBytes   = 256 << 10
 	maxHeldAnswers = 8
+	// minTimedBytes is the encoded size from which on an answer below minHeldBytes has to be read within maxSmallTransfer, maxHeldBytes bounds the size of these
+	// together.
+	minTimedBytes    = 32 << 10
+	maxSmallTransfer = 2 * time.Second
+	maxHeldBytes     = 2 << 20
+	// maxBuilding bounds the answers that are encoded at a time.
+	maxBuilding = 2
 )
 
 // Error is the class of the package's errors.
@@ -126,7 +133,7 @@
 		count = func(Served, int) {}
 	}
 	values, packed := newDeflater(), new(packer)
-	held := make(chan struct{}, maxHeldAnswers)
+	held := newHeldAnswers()
 	handle := func(path string, read func(ctx context.Context, request pollRequest) ([]kv.Event, pollAnswer, error)) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 			var request pollRequest
@@ -134,8 +141,22 @@
 				w.WriteHeader(http.StatusBadRequest)
 				return
 			}
+			isList := path == pathList
+			if isList {
+				held.building <- struct{}{}
+			}
 			events, answer, err := read(req.Context(), request)
-			if err == nil && request.AcceptPacked && sizeOf(events) >= minDeflateBytes && len(events) > 1 {
+			if !isList {
+				// A poll waits for changes.
+				held.building <- struct{}{}
+			}
+			if err != nil {
+				<-held.building
+				count(ServedNothing, 0)
+				reject(w, err)
+				return
+			}
+			if request.AcceptPacked && sizeOf(events) >= minDeflateBytes && len(events) > 1 {
 				key := packKey{path: path, after: request.After, revision: answer.Revision, count: len(events), isShared: answer.KeyHashes == nil}
 				answer.Packed = packed.pack(key, events)
 				events = nil
@@ -143,34 +164,31 @@
 			for _, e := range events {
 				answer.Events = append(answer.Events, values.encode(e, request.AcceptDeflate))
 			}
-			if answer.size() >= minHeldBytes {
-				select {
-				case held <- struct{}{}:
-					defer func() { <-held }()
-					// A reader that has vanished must not hold the answer; the connection is used for further calls.
-					control := http.NewResponseController(w)
-					_ = control.SetWriteDeadline(time.Now().Add(maxTransfer))
-					defer func() {
-						_ = control.Flush()
-						_ = control.SetWriteDeadline(time.Time{})
-					}()
-				default:
-					count(ServedNothing, 0)
-					w.WriteHeader(http.StatusServiceUnavailable)
-					return
-				}
+			size := answer.size()
+			release, ok := held.hold(w, req, size)
+			var text []byte
+			if ok {
+				// An answer has no values that JSON can't represent.
+				text, _ = json.Marshal(answer)
 			}
-			switch {
-			case err != nil:
+			<-held.building
+			if !ok {
 				count(ServedNothing, 0)
-			case path == pathList:
-				count(ServedList, answer.size())
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			defer release()
+			switch {
+			case isList:
+				count(ServedList, size)
 			case answer.KeyHashes != nil:
-				count(ServedDifference, answer.size()+len(answer.KeyHashes))
+				count(ServedDifference, size+len(answer.KeyHashes))
 			default:
-				count(ServedChanges, answer.size())
+				count(ServedChanges, size)
 			}
-			respond(w, answer, err)
+			w.Header().Set("Content-Type", "application/json")
+			// A write error is ignored: a caller that disconnected asks another node.
+			_, _ = w.Write(text)
 		})
 	}
 	handle(pathList, func(context.Context, pollRequest) ([]kv.Event, pollAnswer, error) {
@@ -192,17 +210,12 @@
 	})
 }
 
-func respond(w http.ResponseWriter, answer pollAnswer, err error) {
-	switch {
-	case kv.IsErrCompacted(err):
+func reject(w http.ResponseWriter, err error) {
+	if kv.IsErrCompacted(err) {
 		w.WriteHeader(http.StatusGone)
-	case err != nil:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		// A write error is ignored: a caller that disconnected asks another node.
-		_ = json.NewEncoder(w).Encode(answer)
+		return
 	}
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // Client reads another node's mirror. It implements mirror.Store.
