Take over a connection that the guard has ended

Failed on the code as it stands: the listener counts -66,888 bytes instead of 32,768, which allows its connections 99,656 bytes more each time.

--- a/internal/connguard/listener_test.go
+++ b/internal/connguard/listener_test.go
@@ -84,6 +84,12 @@
 	if strings.HasPrefix(req.URL.Path, "/wait") {
 		<-g.release
 	}
+	if strings.HasSuffix(req.URL.Path, "/hijack") {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s", req.URL.Path, body)
 }
 
@@ -369,3 +375,26 @@
 		}
 	})
 }
+
+// TestConnectionHijackedAfterItsEnd takes over a connection that was closed for another one while its request ran: it is counted no more.
+func TestConnectionHijackedAfterItsEnd(t *testing.T) {
+	withGuarded(t, 1, ampleBytes, func(g *guarded) {
+		first := g.dial()
+		first.send("GET /wait/hijack HTTP/1.1\r\nHost: a\r\n\r\n")
+		synctest.Wait()
+		first.send("G")
+		synctest.Wait()
+		second := g.dial()
+		conns, memory := g.listener.Usage()
+		g.c.Assert(conns, qt.Equals, 1)
+		g.c.Assert(memory, qt.Equals, int64(connguard.ConnBytes))
+		close(g.release)
+		synctest.Wait()
+		conns, memory = g.listener.Usage()
+		g.c.Check(conns, qt.Equals, 1)
+		g.c.Check(memory, qt.Equals, int64(connguard.ConnBytes))
+		second.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+		status, _ := second.answer()
+		g.c.Check(status, qt.Equals, http.StatusOK)
+	})
+}
