Don't take the memory of an ended connection off twice

A connection that was closed for another one while its request ran was taken off the count then, and once more when the handler took it over: a tunnel whose server is slow to connect, or the exchange of work. The bound of the listener's memory grew by 97 KiB each time.

Failed before: TestConnectionHijackedAfterItsEnd.

--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -293,6 +293,9 @@
 		l.leaveQueue(c)
 	case http.StateHijacked:
 		// What tunnels hold is bounded by their number.
+		if c.isForgotten {
+			return
+		}
 		l.leaveQueue(c)
 		l.bytes -= c.bytes
 		c.bytes = 0
