--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,6 +99,8 @@
 	memoryMB int
 	// configuration is crowdConfiguration if empty.
 	configuration string
+	// isStopped has the process stopped while the crowd is there, instead of an ordinary caller.
+	isStopped bool
 	// prepare, which may be nil, writes further entries to the store.
 	prepare func(store *platformfake.Store)
 }
@@ -212,6 +215,12 @@
 	ctx, endCrowd := context.WithTimeout(context.Background(), crowdTime)
 	defer endCrowd()
 	crowd := startCrowd(ctx, fmt.Sprintf("%s:%d", node.ip, cmp.Or(t.port, callersPort)), t.send)
+	if t.isStopped {
+		node.stop(crowdTime / 2)
+		endCrowd()
+		crowd.close()
+		return
+	}
 	peak := node.watch(ctx)
 	// The crowd's last connections are open while the ordinary caller asks.
 	status, body := node.callOrdinary()
@@ -291,6 +300,19 @@
 	}
 }
 
+// stop asks the process to stop after a while, which it has to do by itself.
+func (n *crowdedNode) stop(after time.Duration) {
+	time.Sleep(after)
+	n.c.Assert(n.isRunning(), qt.IsTrue)
+	n.c.Assert(n.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	select {
+	case <-n.exited:
+		n.c.Check(n.cmd.ProcessState.Success(), qt.IsTrue, qt.Commentf("%v", n.cmd.ProcessState))
+	case <-time.After(20 * time.Second):
+		n.c.Error("the process hangs")
+	}
+}
+
 func (n *crowdedNode) isRunning() bool {
 	select {
 	case <-n.exited:
--- a/internal/cmd/untrusted_edge_test.go
+++ b/internal/cmd/untrusted_edge_test.go
@@ -110,5 +110,7 @@
 			name: "unread answers, peers", files: ampleFiles, memoryMB: 48, port: peersPort, prepare: listServers,
 			send: ignore("POST /v1/store/list HTTP/1.1\r\nHost: peers\r\nContent-Length: 2\r\n\r\n{}", 40),
 		},
+		{name: "bodies that do not come, stopped", files: ampleFiles, isStopped: true, send: hold(requestLine + "Content-Length: 10\r\n\r\nx")},
+		{name: "requests without end, stopped", files: ampleFiles, isStopped: true, send: repeat("", requestLine+"Content-Length: 0\r\n\r\n")},
 	}
 }
