--- a/internal/cmd/untrusted_callers_test.go
+++ b/internal/cmd/untrusted_callers_test.go
@@ -36,6 +36,10 @@
 	crowdMemoryMB = 64
 	crowdFiles    = 500
 	reservedFiles = 200
+	// ruinousMemory is that of a process which the machine would end.
+	ruinousMemory = 512 << 20
+	// outputTail is how much of a process's output a failed test shows.
+	outputTail = 2000
 	// ampleFiles are enough for every connection of a crowd, so that only memory bounds them.
 	ampleFiles = 4100
 	// largeAnswer is the size of the server's answers that the crowd doesn't read.
@@ -202,37 +206,45 @@
 // TestUntrustedCallers lets a crowd of clients that nobody controls loose on a node's process: the process lives within its memory and descriptors, and an
 // ordinary request is answered.
 func TestUntrustedCallers(t *testing.T) {
+	requireUntrustedCallers(t)
+	for _, test := range crowdCases() {
+		t.Run(test.name, func(t *testing.T) {
+			test.port = cmp.Or(test.port, callersPort)
+			startCrowdedNode(qt.New(t), &test).bear(&test)
+		})
+	}
+}
+
+// requireUntrustedCallers skips a test that isn't run apart from others.
+func requireUntrustedCallers(t *testing.T) {
 	if os.Getenv(untrustedCallersEnv) == "" {
 		t.Skipf("make crowds runs it apart from other tests, and sets %s", untrustedCallersEnv)
 	}
-	for _, test := range crowdCases() {
-		t.Run(test.name, func(t *testing.T) { test.run(qt.New(t)) })
-	}
 }
 
-func (t *crowdCase) run(c *qt.C) {
-	node := startCrowdedNode(c, t)
+// bear lets the crowd of a case loose on the process, and checks what must hold.
+func (n *crowdedNode) bear(test *crowdCase) {
 	ctx, endCrowd := context.WithTimeout(context.Background(), crowdTime)
 	defer endCrowd()
-	crowd := startCrowd(ctx, fmt.Sprintf("%s:%d", node.ip, cmp.Or(t.port, callersPort)), t.send)
-	if t.isStopped {
-		node.stop(crowdTime / 2)
+	crowd := startCrowd(ctx, fmt.Sprintf("%s:%d", n.ip, test.port), test.send)
+	if test.isStopped {
+		n.stop(crowdTime / 2)
 		endCrowd()
 		crowd.close()
 		return
 	}
-	peak := node.watch(ctx)
+	peak := n.watch(ctx)
 	// The crowd's last connections are open while the ordinary caller asks.
-	status, body := node.callOrdinary()
-	isHeard := t.port == 0 || node.askOrdinary(t.port)
+	status, body := n.callOrdinary()
+	isHeard := n.isHeard == nil || n.isHeard(test.port)
 	crowd.close()
-	c.Logf("memory %d KiB at most (%d KiB resident, %d KiB unread), %d sockets at most", (peak.resident+peak.unread)>>10, peak.resident>>10, peak.unread>>10, peak.sockets)
-	c.Check(node.isRunning(), qt.IsTrue)
-	c.Check(status, qt.Equals, http.StatusOK)
-	c.Check(body, qt.Equals, "answer of s0")
-	c.Check(isHeard, qt.IsTrue, qt.Commentf("the crowd's listener answers no ordinary request"))
-	c.Check(peak.resident+peak.unread <= t.memoryLimit(), qt.IsTrue, qt.Commentf("%d KiB of memory", (peak.resident+peak.unread)>>10))
-	c.Check(peak.sockets <= t.files-reservedFiles, qt.IsTrue, qt.Commentf("%d sockets", peak.sockets))
+	n.c.Logf("memory %d KiB at most (%d KiB resident, %d KiB unread), %d sockets at most", (peak.resident+peak.unread)>>10, peak.resident>>10, peak.unread>>10, peak.sockets)
+	n.c.Check(n.isRunning(), qt.IsTrue)
+	n.c.Check(status, qt.Equals, http.StatusOK)
+	n.checkOrdinary(body)
+	n.c.Check(isHeard, qt.IsTrue, qt.Commentf("the crowd's listener answers no ordinary request"))
+	n.c.Check(peak.resident+peak.unread <= n.memory, qt.IsTrue, qt.Commentf("%d KiB of memory", (peak.resident+peak.unread)>>10))
+	n.c.Check(peak.sockets <= test.files-reservedFiles, qt.IsTrue, qt.Commentf("%d sockets", peak.sockets))
 }
 
 // crowdedNode is a node's process that a crowd uses.
@@ -242,18 +254,28 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	out    bytes.Buffer
+	// memory is the bound of the process's memory in bytes.
+	memory int
+	// sendOrdinary sends an ordinary request, checkOrdinary checks the body of its response.
+	sendOrdinary  func() (*http.Response, error)
+	checkOrdinary func(body string)
+	// isHeard reports whether the listener at a port answers an ordinary request; nil if sendOrdinary tells.
+	isHeard func(port int) bool
 }
 
-// startCrowdedNode starts a node and waits until it is ready.
+// startCrowdedNode starts a node of the users' platform and waits until it is ready.
 func startCrowdedNode(c *qt.C, test *crowdCase) *crowdedNode {
-	node := newCrowdedNode(c, test)
-	node.awaitReady()
-	return node
-}
-
-// newCrowdedNode starts a node.
-func newCrowdedNode(c *qt.C, test *crowdCase) *crowdedNode {
-	node := &crowdedNode{c: c, ip: ownLoopbackIP(), exited: make(chan struct{})}
+	node := &crowdedNode{c: c, ip: ownLoopbackIP(), exited: make(chan struct{}), memory: test.memoryLimit()}
+	node.isHeard = func(port int) bool { return port == callersPort || node.askOrdinary(port) }
+	node.checkOrdinary = func(body string) { c.Check(body, qt.Equals, "answer of s0") }
+	client := ordinaryClient()
+	node.sendOrdinary = func() (*http.Response, error) {
+		req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/c/1", node.ip, callersPort), strings.NewReader("order"))
+		c.Assert(err, qt.IsNil)
+		req.Host = "app.example"
+		req.Header.Set("Attempt-Id", "ordinary")
+		return client.Do(req)
+	}
 	store := platformfake.NewStore()
 	c.TB.Cleanup(store.Close)
 	large := strings.Repeat("a", largeAnswer)
@@ -271,25 +293,33 @@
 	}
 	settings := filepath.Join(c.TB.TempDir(), "local.toml")
 	c.Assert(os.WriteFile(settings, fmt.Appendf(nil, crowdSettings, node.ip, test.memoryLimit()>>20, test.files, listen(c, store)), 0o600), qt.IsNil)
-	node.cmd = exec.Command(os.Args[0], "edge", "--settings", settings, "--metrics-listen", node.ip+":8005")
-	node.cmd.Env = append(os.Environ(), runProgramEnv+"=1")
-	node.cmd.Stdout, node.cmd.Stderr = &node.out, &node.out
-	c.Assert(node.cmd.Start(), qt.IsNil)
-	go func() {
-		_ = node.cmd.Wait()
-		close(node.exited)
-	}()
-	c.TB.Cleanup(func() {
-		_ = node.cmd.Process.Kill()
-		<-node.exited
-	})
+	node.start([]string{"edge", "--settings", settings, "--metrics-listen", fmt.Sprintf("%s:%d", node.ip, metricsPort)}, nil,
+		func() (*http.Response, error) {
+			return http.Get(fmt.Sprintf("http://%s:%d/monsoonrail/readiness", node.ip, readinessPort))
+		})
 	return node
 }
 
-func (n *crowdedNode) awaitReady() {
+// start runs the program with further environment variables, and waits until the answer that get returns shows that the process is ready.
+func (n *crowdedNode) start(args, env []string, get func() (*http.Response, error)) {
+	n.cmd = exec.Command(os.Args[0], args...)
+	n.cmd.Env = append(append(os.Environ(), runProgramEnv+"=1"), env...)
+	n.cmd.Stdout, n.cmd.Stderr = &n.out, &n.out
+	n.c.Assert(n.cmd.Start(), qt.IsNil)
+	go func() {
+		_ = n.cmd.Wait()
+		close(n.exited)
+	}()
+	n.c.TB.Cleanup(func() {
+		_ = n.cmd.Process.Kill()
+		<-n.exited
+		if n.c.Failed() {
+			n.c.Logf("end of the process's output: %s", n.out.Bytes()[max(0, n.out.Len()-outputTail):])
+		}
+	})
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(samplePause) {
-		n.c.Assert(time.Now().Before(end) && n.isRunning(), qt.IsTrue, qt.Commentf("the node did not become ready"))
-		resp, err := http.Get("http://" + n.ip + ":8002/monsoonrail/readiness")
+		n.c.Assert(time.Now().Before(end) && n.isRunning(), qt.IsTrue, qt.Commentf("the process did not become ready"))
+		resp, err := get()
 		if err != nil {
 			continue
 		}
@@ -300,6 +330,11 @@
 	}
 }
 
+// ordinaryClient returns a client that opens a connection for each request.
+func ordinaryClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+}
+
 // stop asks the process to stop after a while, which it has to do by itself.
 func (n *crowdedNode) stop(after time.Duration) {
 	time.Sleep(after)
@@ -324,13 +359,8 @@
 
 // callOrdinary sends an ordinary request, on a new connection where one was closed, and returns its status and body.
 func (n *crowdedNode) callOrdinary() (int, string) {
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 	for range ordinaryTries {
-		req, err := http.NewRequest(http.MethodPost, "http://"+n.ip+":8001/c/1", strings.NewReader("order"))
-		n.c.Assert(err, qt.IsNil)
-		req.Host = "app.example"
-		req.Header.Set("Attempt-Id", "ordinary")
-		resp, err := client.Do(req)
+		resp, err := n.sendOrdinary()
 		if err == nil {
 			body, err := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
@@ -345,7 +375,7 @@
 
 // askOrdinary sends an ordinary request to a listener other than that of callers, and reports whether it is answered.
 func (n *crowdedNode) askOrdinary(port int) bool {
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	client := ordinaryClient()
 	method, path := http.MethodGet, map[int]string{readinessPort: "/monsoonrail/readiness", addressesPort: "/monsoonrail/resolution?name=app.example", metricsPort: "/metrics"}[port]
 	if port == peersPort {
 		method, path = http.MethodPost, "/v1/store/list"
@@ -369,7 +399,7 @@
 // usage is the most that a process used of something at any time; resident and unread are those of one moment.
 type usage struct{ resident, unread, sockets int }
 
-// watch looks at the process until ctx ends.
+// watch looks at the process until ctx ends, and ends it when it takes more memory than any machine of the tests has.
 func (n *crowdedNode) watch(ctx context.Context) usage {
 	var peak usage
 	for ctx.Err() == nil && n.isRunning() {
@@ -378,6 +408,10 @@
 			peak.resident, peak.unread = now.resident, now.unread
 		}
 		peak.sockets = max(peak.sockets, now.sockets)
+		if now.resident > ruinousMemory {
+			_ = n.cmd.Process.Kill()
+			<-n.exited
+		}
 		time.Sleep(samplePause)
 	}
 	return peak
