connguard: the listeners of a process share its resources

The shares of the listeners, the memory limit of the runtime, the counts and the log lines of closed connections move from edge to connguard.Group, for serve and dev to have the same. The connection of a request comes from connguard.ConnContext instead of a function of the gateway. The bounds, metrics and log lines of edge stay as they are.

--- a/internal/connguard/drain_test.go
+++ b/internal/connguard/drain_test.go
@@ -12,7 +12,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonrail/monsoonrail/internal/connguard"
-	"github.com/monsoonrail/monsoonrail/internal/gateway"
 )
 
 // TestConnectionsInTheKernelsQueueAreServed drains a listener while connections with requests wait to be accepted, as on a node that stood still.
@@ -38,7 +37,7 @@
 	go func() { drained <- listener.Drain(ctx) }()
 	time.Sleep(10 * time.Millisecond)
 	server := &http.Server{
-		Handler: connguard.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), gateway.CallerConn), ConnContext: gateway.ConnContext, ConnState: listener.ConnState,
+		Handler: connguard.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})), ConnContext: connguard.ConnContext, ConnState: listener.ConnState,
 	}
 	defer server.Close()
 	go func() { _ = server.Serve(listener) }()
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"container/list"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -73,7 +74,7 @@
 	Count func(cause Cause)
 }
 
-// Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState, and its handler wrapped by Handler. When
+// Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState and ConnContext, and its handler wrapped by Handler. When
 // a bound is reached, the connection that has waited longest without a request is closed first, and one that never had a request before one that had. Between
 // the two come those whose clients send on before their requests are answered, and last those whose requests' bodies don't come.
 type Listener struct {
@@ -310,11 +311,24 @@
 	}
 }
 
-// Handler returns a handler that serves no request of a connection that has ended: its client may have been told so. The connection is the value of the
-// request's context that connOf returns.
-func Handler(next http.Handler, connOf func(req *http.Request) net.Conn) http.Handler {
+// connKey is the context key of a connection.
+type connKey struct{}
+
+// ConnContext is the hook of the http.Server.
+func ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// ConnOf returns the connection of a request to a server with ConnContext; nil for others.
+func ConnOf(req *http.Request) net.Conn {
+	nc, _ := req.Context().Value(connKey{}).(net.Conn)
+	return nc
+}
+
+// Handler returns a handler that serves no request of a connection that has ended: its client may have been told so.
+func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		c, ok := connOf(req).(*conn)
+		c, ok := ConnOf(req).(*conn)
 		if !ok {
 			next.ServeHTTP(w, req)
 			return
--- a/internal/connguard/listener_test.go
+++ b/internal/connguard/listener_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
-	"github.com/monsoonrail/monsoonrail/internal/gateway"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
 )
 
@@ -61,7 +60,7 @@
 			},
 		})
 		server := &http.Server{
-			Handler: connguard.Handler(http.HandlerFunc(g.serve), gateway.CallerConn), ConnContext: gateway.ConnContext, ConnState: g.listener.ConnState,
+			Handler: connguard.Handler(http.HandlerFunc(g.serve)), ConnContext: connguard.ConnContext, ConnState: g.listener.ConnState,
 		}
 		go func() { _ = server.Serve(g.listener) }()
 		ctx, end := context.WithCancel(context.Background())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,11 +51,6 @@
 	idleTimeout = 60 * time.Second
 	// MaxHeaderBytes bounds a request header, where operators don't.
 	MaxHeaderBytes = 64 << 10
-	// memoryLimitShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the
-	// garbage collector runs more often.
-	memoryLimitShare = 0.6
-	// nonHeapMemory is what the process has on top: the pages of the program, and what the kernel holds for its connections.
-	nonHeapMemory = 32 << 20
 	// answerMemoryShare is the share of the machine's memory that the parts of servers' answers take together which are held until they are forwarded, and
 	// defaultAnswerMemory their bound if that memory is unknown.
 	answerMemoryShare   = 0.2
@@ -130,7 +124,7 @@
 	relayedReports chan relayedReport
 	// work tells other nodes what this one has under way at servers, and the other way round.
 	work   *workshare.Exchange
-	guards guards
+	guards *connguard.Group
 	// isStopping is set once the shutdown has begun.
 	isStopping atomic.Bool
 }
@@ -150,7 +144,7 @@
 	n := &Node{opts: opts, log: opts.Log, metrics: metric.New(), backends: backend.NewSet(backend.Locality{Node: opts.Settings.Node, FailureDomain: opts.Settings.FailureDomain, Regions: opts.Settings.Regions}), collectors: make(map[route.Service][]nodelist.Node), relayedReports: make(chan relayedReport, maxRelayedReports)}
 	n.crashes = crashes.NewTracker(crashes.Options{ProbeDelay: n.probeDelay, RewriteDelay: n.rewriteDelay})
 	n.settings.Store(&opts.Settings)
-	n.guards = guards{listeners: make(map[string]*connguard.Listener), closed: make(map[string]map[connguard.Cause]int)}
+	n.guards = n.newGuards()
 	n.nodes.Store(&[]nodelist.Node{})
 	n.transport = tcp.NewTransport(opts.Network)
 	store := platform.NewStore(opts.Settings.Store.Address, n.transport)
@@ -240,9 +234,7 @@
 
 // Run serves until ctx ends, and then shuts down gracefully within the grace period.
 func (n *Node) Run(ctx context.Context) error {
-	if limit := n.opts.Settings.Resources.MemoryBytes; limit > 0 {
-		debug.SetMemoryLimit(min(int64(memoryLimitShare*float64(limit)), max(limit-nonHeapMemory, limit/2)))
-	}
+	n.resources().LimitRuntime()
 	n.log.WithFields(log.Fields{
 		"node": string(n.opts.Settings.Node), "failure_domain": string(n.opts.Settings.FailureDomain),
 		"callers": n.opts.Settings.Listen.Callers, "store": n.opts.Settings.Store.Address,
@@ -264,7 +256,7 @@
 	super.Add(supervisor.Duty{Name: "connections", Run: func(ctx context.Context) error {
 		return sleep.Every(ctx, n.pool.SweepInterval(), n.pool.Sweep)
 	}})
-	super.Add(supervisor.Duty{Name: "callers-connections", Run: n.sweepConnections})
+	super.Add(supervisor.Duty{Name: "callers-connections", Run: n.guards.Run})
 	for _, s := range servers {
 		super.Add(supervisor.Duty{Name: s.name, Run: s.run})
 	}
@@ -299,14 +291,11 @@
 		n.log.WithError(err).Warn("could not remove node from the list; its lease will expire")
 	}
 	sleep.For(ctx, time.Until(begin.Add(share(acceptConnectionsShare))))
-	// The settings may name no address for callers.
-	if callers, ok := n.guards.listeners[callersListener]; ok {
-		if err := callers.Drain(ctx); err != nil {
-			n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
-		}
+	if err := n.guards.Drain(ctx, callersListener); err != nil {
+		n.log.WithField("running", n.gateway.InFlight()).WithError(err).Warn("requests aborted at the end of the grace period")
 	}
 	n.tunnels.Wait(ctx)
-	n.logClosed()
+	n.guards.LogClosed()
 	n.log.WithField("running", n.gateway.InFlight()).Info("node stopped")
 }
 
@@ -423,7 +412,7 @@
 		n.metrics.Gauge("monsoonrail_edge_running_requests").Update(n.gateway.InFlight())
 		n.metrics.Gauge("monsoonrail_edge_answer_memory_bytes").Update(n.answerMemory.Used())
 		n.metrics.Gauge("monsoonrail_edge_request_memory_bytes").Update(n.requestMemory.Used())
-		n.gaugeConnections()
+		n.guards.UpdateGauges()
 		n.metrics.Gauge("monsoonrail_edge_tunnels_for_others").Update(int64(n.tunnels.Open()))
 		n.metrics.Gauge("monsoonrail_edge_servers").Update(int64(n.backends.Len()))
 		n.metrics.Gauge("monsoonrail_edge_evacuated_domains").Update(int64(n.countEvacuations()))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,29 +1,13 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/internal/framing"
 )
 
-// connKey is the context key of a caller's connection.
-type connKey struct{}
-
-// ConnContext is the ConnContext function that the http.Server of a Gateway must have: the gateway resets the connection of an answer that is
-// broken off, if nothing else shows that the answer is incomplete.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-// CallerConn returns the connection of a request to a server with that ConnContext; nil for others.
-func CallerConn(req *http.Request) net.Conn {
-	conn, _ := req.Context().Value(connKey{}).(net.Conn)
-	return conn
-}
-
 // lingerer is a connection that can be reset by its Close, such as a net.TCPConn.
 type lingerer interface {
 	SetLinger(seconds int) error
@@ -39,7 +23,8 @@
 type callerAnswer struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	// conn is the caller's connection; nil if it can't be reset.
+	// conn is the caller's connection, by which an answer that is broken off is reset if nothing else shows that it is incomplete; nil if it can't be reset. The
+	// http.Server must have connguard.ConnContext.
 	conn lingerer
 	// canChunk is false for callers of HTTP/1.0, whose answers without a length end with their connection.
 	canChunk bool
@@ -51,7 +36,7 @@
 }
 
 func newCallerAnswer(w http.ResponseWriter, req *http.Request, amendHeader func(header http.Header)) *callerAnswer {
-	conn, _ := req.Context().Value(connKey{}).(lingerer)
+	conn, _ := connguard.ConnOf(req).(lingerer)
 	return &callerAnswer{
 		w: w, control: http.NewResponseController(w), conn: conn, canChunk: req.ProtoAtLeast(1, 1), amendHeader: amendHeader,
 	}
