node: bound what clients hold at the listeners of serve and dev

Cause: the listeners for callers, peers and metrics used a plain http.Server, which bounds neither connections nor the memory of heads and of bodies that are still read; the peer port read up to 4 MiB of each message before its signature, and took heads and frames of HTTP/2 of 1 MiB.

Bodies count until their requests end; a call whose body has no room gets 503 Overloaded, NotRun. At the peer port a connection stays open, uncounted but for its base, once a request on it had a valid signature; others are closed first, also those of HTTP/2, whose streams and bodies count. Heads there have 4 KiB at most, frames 16 KiB, unread data of HTTP/2 64 KiB. Tunnels and the graceful shutdown stay as they were, shown by connguard's tests. A slow head gets 408 from the guard, which says that no request has run, instead of net/http's 400: TestRawConnections expects that one now, within the same time.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/monsoonrail/monsoonrail/internal/answer"
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
@@ -49,6 +50,11 @@
 }
 
 func bodyProblem(err error) *api.Problem {
+	if connguard.IsErrNoRoom(err) {
+		problem := api.NewProblem(api.ReasonOverloaded, http.StatusServiceUnavailable, api.OutcomeNotRun, "no memory left for the body")
+		problem.RetryAfter = time.Second
+		return problem
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return api.NewProblem(api.ReasonTooLarge, http.StatusRequestEntityTooLarge, api.OutcomeNotRun,
--- a/internal/cmd/collector.go
+++ b/internal/cmd/collector.go
@@ -3,6 +3,9 @@
 import (
 	"os"
 	"runtime/debug"
+
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
+	"github.com/monsoonrail/monsoonrail/internal/setting"
 )
 
 const (
@@ -14,6 +17,11 @@
 	gcVariable = "GOGC"
 )
 
+// limitRuntime bounds the memory of the Go runtime by that of the process.
+func limitRuntime(resources setting.Resources) {
+	connguard.Resources{MemoryBytes: resources.MemoryBytes, MaxFiles: resources.MaxFiles}.LimitRuntime()
+}
+
 // setGCPercent applies gcPercent to the garbage collector of a process that serves requests, unless GOGC is set.
 func setGCPercent() {
 	if os.Getenv(gcVariable) == "" {
--- a/internal/cmd/dev.go
+++ b/internal/cmd/dev.go
@@ -21,6 +21,8 @@
 	Seed    uint64      `long:"seed" env:"MONSOONRAIL_DEV_SEED" default:"1" description:"seed of everything random"`
 	Log     setting.Log `group:"Log"`
 	Playing playOptions `group:"Play"`
+	// Resources are those of all nodes together.
+	Resources setting.Resources `group:"Resources"`
 }
 
 func devCommand(std streams) subcommand {
@@ -39,12 +41,16 @@
 	if err != nil {
 		return &usageError{cause: err}
 	}
+	if err := o.Resources.Check(); err != nil {
+		return &usageError{cause: err}
+	}
 	setGCPercent()
+	limitRuntime(o.Resources)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	opts := dev.Options{
 		Config: config, Nodes: o.Nodes, Engines: o.Engines, PlainServers: o.Plains,
-		Prefix: o.Prefix, Seed: o.Seed, LogOutput: o.std.err, Log: o.Log,
+		Prefix: o.Prefix, Seed: o.Seed, LogOutput: o.std.err, Log: o.Log, Resources: o.Resources,
 	}
 	if o.Playing.Play != "" {
 		return o.Playing.run(ctx, o.std, opts)
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -32,6 +32,7 @@
 		return &usageError{cause: err}
 	}
 	setGCPercent()
+	limitRuntime(o.Resources)
 	ctx := shutdownContext()
 	logger, lines := o.Settings.Log.Open(o.std.out)
 	defer lines.Close()
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -1,6 +1,7 @@
 package connguard
 
 import (
+	"bytes"
 	"container/list"
 	"io"
 	"net"
@@ -29,6 +30,10 @@
 	isHandedOver bool
 	// isBegun means that the request of that head is or was served.
 	isBegun bool
+	// endingBytes is what bytes was when the connection ended, until the server closes it.
+	endingBytes int64
+	// isHTTP2 is set once the connection has begun with the preface of HTTP/2, by the goroutine that reads; isAuthenticated once its client has authenticated.
+	isHTTP2, isAuthenticated bool
 	// isEnded means that no request is served any more, isForgotten that the connection counts no more, isCutOff that it ended while a request ran.
 	isEnded, isForgotten, isCutOff bool
 }
@@ -39,6 +44,9 @@
 	if n := c.head.handOver(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
+	if c.isHTTP2 {
+		return c.Conn.Read(p)
+	}
 	for c.listener.isReadingHead(c) {
 		to := c.head.room(p, c.listener.opts.Limits().MaxHeadBytes)
 		n, err := c.readHead(to)
@@ -47,6 +55,9 @@
 			return 0, err
 		}
 		fields := c.head.add(to[:n])
+		if c.listener.opts.IsForPeers && bytes.HasPrefix(fields, http2FirstLine) {
+			c.listener.beginHTTP2(c)
+		}
 		if cause, ok := c.listener.grow(c, n, fields); !ok {
 			c.head.release()
 			if cause != "" {
@@ -109,7 +120,7 @@
 
 // refuseAndClose refuses the request whose head was being read, if there was one, and closes the connection.
 func (c *conn) refuseAndClose(refusal string) {
-	if c.isCutOff {
+	if c.isCutOff || c.isHTTP2 {
 		c.reset()
 		return
 	}
@@ -130,13 +141,13 @@
 	}
 	l.leaveQueue(c)
 	c.isBegun = true
-	if c.bytes == ConnBytes {
+	if c.bytes == ConnBytes && !c.isAuthenticated {
 		// The head came together with the request before, and wasn't counted.
 		fields := fieldBytes(header)
 		c.bytes += fields
 		l.bytes += fields
 	}
-	if hasBody {
+	if hasBody && !c.isAuthenticated {
 		c.waitsFrom = time.Now()
 		c.place, c.queue = l.unread.PushBack(c), l.unread
 	}
@@ -168,10 +179,12 @@
 func (c *conn) Close() error {
 	l := c.listener
 	l.mu.Lock()
-	isNotServed := c.isHandedOver && !c.isBegun && !c.isEnded
+	isNotServed := c.isHandedOver && !c.isBegun && !c.isEnded && !c.isHTTP2
 	l.leaveQueue(c)
 	l.forget(c)
 	c.isEnded = true
+	l.endingBytes -= c.endingBytes
+	c.endingBytes = 0
 	l.mu.Unlock()
 	if isNotServed {
 		l.opts.Count(NotServed)
--- a/internal/connguard/listener.go
+++ b/internal/connguard/listener.go
@@ -27,6 +27,14 @@
 	aheadBytes = 64 << 10
 	// bufferBytes is the size of the server's read buffer, by which a read may go beyond a head.
 	bufferBytes = 4 << 10
+	// http2Bytes is what a connection of HTTP/2 takes in addition: the frame that is being read, compressed fields, goroutines, and 64 KiB of data that has arrived
+	// and is not read. A stream takes streamBytes beside its fields.
+	http2Bytes  = 112 << 10
+	streamBytes = 24 << 10
+	// endingPart is the part of the memory that ending connections may take before further ones are refused.
+	endingPart = 2
+	// bodyByteFactor is the memory that a byte of a body takes in a buffer that grows.
+	bodyByteFactor = 2
 	// standstill is added to the clients' time limits, since a node may stand still for a moment itself.
 	standstill = 2 * time.Second
 	// partingTime and partingBytes bound the reading of a connection after a refusal, which a client might not get otherwise.
@@ -72,6 +80,11 @@
 	Limits func() Limits
 	// Count counts a connection that was closed or refused.
 	Count func(cause Cause)
+	// CountsBodies is set if the memory of requests' bodies is counted until the requests end, and no other budget bounds it. Reads of a body for which there is
+	// no room fail with ErrNoRoom.
+	CountsBodies bool
+	// IsForPeers is set if clients authenticate with their requests (see Authenticated). They may use HTTP/2 without TLS, and have HeadTimeout to authenticate.
+	IsForPeers bool
 }
 
 // Listener is a net.Listener whose connections are bounded. The http.Server that uses it must have its ConnState and ConnContext, and its handler wrapped by Handler. When
@@ -84,6 +97,8 @@
 	mu    sync.Mutex
 	conns int
 	bytes int64
+	// endingBytes is the memory of connections of HTTP/2 that have ended for others, and that the server hasn't closed yet.
+	endingBytes int64
 	// unproven and idle hold the connections without a request, of which the latter have had one, and ahead those whose clients send on before their requests are
 	// answered, and unread those whose request's body has yet to come; those that have waited longest come first.
 	unproven, ahead, idle, unread *list.List
@@ -121,6 +136,10 @@
 // add makes room for a connection, and reports false if there is none.
 func (l *Listener) add(c *conn) bool {
 	l.mu.Lock()
+	if l.endingBytes > l.opts.MaxBytes/endingPart {
+		defer l.mu.Unlock()
+		return false
+	}
 	ended := l.makeRoom(1, ConnBytes, nil)
 	// Nothing waits any more for a connection that comes after the end of Drain.
 	hasRoom := !l.isDrained && l.conns < l.opts.MaxConns && l.bytes+ConnBytes <= l.opts.MaxBytes
@@ -143,13 +162,15 @@
 	return l.waitsForHead(c) && !c.isHandedOver
 }
 
-// waitsForHead reports whether no request of a connection is served.
-func (l *Listener) waitsForHead(c *conn) bool { return c.queue == l.unproven || c.queue == l.idle }
+// waitsForHead reports whether no request of a connection is served, and one of HTTP/1 is expected.
+func (l *Listener) waitsForHead(c *conn) bool {
+	return !c.isHTTP2 && (c.queue == l.unproven || c.queue == l.idle)
+}
 
 // sendsAhead counts what a client sends on before its request is answered. It returns false if the connection has to end for that.
 func (l *Listener) sendsAhead(c *conn) bool {
 	l.mu.Lock()
-	if c.isEnded || c.queue != nil && c.queue != l.unread {
+	if c.isEnded || c.isAuthenticated || c.isHTTP2 || c.queue != nil && c.queue != l.unread {
 		defer l.mu.Unlock()
 		return !c.isEnded
 	}
@@ -254,6 +275,10 @@
 func (l *Listener) end(c *conn) {
 	c.isEnded, c.isCutOff = true, c.queue == l.ahead || c.queue == l.unread
 	l.leaveQueue(c)
+	if c.isHTTP2 && !c.isForgotten {
+		c.endingBytes = c.bytes
+		l.endingBytes += c.bytes
+	}
 	l.forget(c)
 }
 
@@ -289,6 +314,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.isHTTP2 {
+		// The connection has several requests at once, and waits until its client has authenticated.
+		return
+	}
 	switch state {
 	case http.StateActive:
 		l.leaveQueue(c)
@@ -307,7 +336,9 @@
 		l.leaveQueue(c)
 		l.bytes -= c.bytes - ConnBytes
 		c.bytes, c.headBytes, c.isHandedOver, c.isBegun, c.waitsFrom = ConnBytes, 0, false, false, time.Now()
-		c.place, c.queue = l.idle.PushBack(c), l.idle
+		if !c.isAuthenticated {
+			c.place, c.queue = l.idle.PushBack(c), l.idle
+		}
 	}
 }
 
@@ -334,13 +365,28 @@
 			return
 		}
 		hasBody := req.ContentLength != 0
+		if c.isHTTP2 {
+			held := c.beginStream(req.Header)
+			if held == nil {
+				panic(http.ErrAbortHandler)
+			}
+			defer held.release()
+			if hasBody {
+				req = req.WithContext(req.Context())
+				req.Body = &streamBody{ReadCloser: req.Body, request: held}
+			}
+			next.ServeHTTP(w, req)
+			return
+		}
 		if !c.begin(req.Header, hasBody) {
 			panic(http.ErrAbortHandler)
 		}
 		if hasBody {
 			// A copy, since the server looks at the type of its own request's body.
 			req = req.WithContext(req.Context())
-			req.Body = &body{ReadCloser: req.Body, conn: c}
+			held := &request{conn: c}
+			defer held.release()
+			req.Body = &body{ReadCloser: req.Body, conn: c, request: held}
 		}
 		next.ServeHTTP(w, req)
 	})
@@ -349,13 +395,18 @@
 // body is the body of a request, which tells its connection when it has been read.
 type body struct {
 	io.ReadCloser
-	conn   *conn
-	isRead bool
+	conn    *conn
+	request *request
+	isRead  bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.conn.listener.opts.CountsBodies && !b.request.holdBody(n) {
+		b.conn.listener.opts.Count(NoRoom)
+		return 0, Error.Wrap(&ErrNoRoom{})
+	}
 	if err == io.EOF && !b.isRead {
 		b.isRead = true
 		if !b.conn.hasBody() {
--- a/internal/dev/nodes.go
+++ b/internal/dev/nodes.go
@@ -137,7 +137,8 @@
 			MaxAnswers: 20_000, MaxAnswerBytes: 4 << 20, MaxKeptBytes: 256 << 20,
 			KeepAnswers: 10 * time.Minute, MaxHeaderBytes: 16 << 10,
 		},
-		Log: s.opts.Log,
+		Resources: setting.Resources{MemoryBytes: s.opts.Resources.MemoryBytes / int64(s.opts.Nodes), MaxFiles: s.opts.Resources.MaxFiles / s.opts.Nodes},
+		Log:       s.opts.Log,
 	}
 	if settings.Log.Level == "" {
 		settings.Log.Level = "error"
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -93,6 +93,8 @@
 	// LogOutput receives the nodes' logs; nil discards them.
 	LogOutput io.Writer
 	Log       setting.Log
+	// Resources are those of all nodes together; 0 means no limit.
+	Resources setting.Resources
 	// Runner runs the nodes; nil runs them in this process.
 	Runner NodeRunner
 	// AdvertisedAddress returns the address at which others reach a host, given its listen address, for hosts behind a relay; nil means
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -14,7 +14,6 @@
 	"github.com/monsoonrail/monsoonrail/internal/noderpc"
 	"github.com/monsoonrail/monsoonrail/internal/peer"
 	"github.com/monsoonrail/monsoonrail/internal/supervisor"
-	"github.com/monsoonrail/monsoonrail/internal/tcp"
 	"github.com/monsoonrail/monsoonrail/internal/trial"
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -39,6 +38,7 @@
 	exchange, err := peer.New(peer.Options{
 		Self: self, Keys: n.peerKeys(), Seeds: n.seeds,
 		Network: n.opts.Network, Config: c.follower, Log: n.log, Metrics: n.metrics.Registry(), Rand: n.newRand(streamPeers),
+		Authenticated: noteAuthenticated,
 	})
 	if err != nil {
 		return Error.Wrap(err)
@@ -59,8 +59,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(n.cluster.exchange.Handler())
 	path, calls := noderpc.NewHandler(noderpc.ServerOptions{BillHolder: n.billHolder, ClaimCommitter: n.batcher, RateLender: n.gate, ServerFinder: n})
-	mux.Handle(path, n.peerKeys().RequireSigned(calls))
-	return n.listenAdditional(ctx, "peer-api", n.opts.Settings.Node.PeerListen, &http.Server{Handler: n.handleTunnels(mux), Protocols: tcp.UnencryptedProtocols()})
+	mux.Handle(path, n.peerKeys().RequireSigned(handleAuthenticated(calls)))
+	return n.listenAdditional(ctx, peerAPI, n.opts.Settings.Node.PeerListen, n.handleTunnels(mux))
 }
 
 // self returns this node's entry for the membership list.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -11,19 +11,19 @@
 
 // listenAdditional listens on a further address besides that of the caller API, adds the duty that serves it, and closes both
 // with the node.
-func (n *Node) listenAdditional(ctx context.Context, duty, address string, server *http.Server) error {
-	listener, err := n.opts.Network.Listen(ctx, address)
+func (n *Node) listenAdditional(ctx context.Context, name, address string, handler http.Handler) error {
+	opened, err := n.opts.Network.Listen(ctx, address)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
+	listener, server := n.guardListener(name, opened, handler)
 	n.parts.onClose = append(n.parts.onClose, func() {
 		_ = server.Close()
 		// The server closes the listener only if the duty has begun to serve it.
 		_ = listener.Close()
 	})
 	n.parts.duties = append(n.parts.duties, supervisor.Duty{
-		Name: duty, Run: func(ctx context.Context) error { return serveUntil(ctx, server, listener) },
+		Name: name, Run: func(ctx context.Context) error { return serveUntil(ctx, server, listener) },
 	})
 	return nil
 }
--- a/internal/node/metrics_api.go
+++ b/internal/node/metrics_api.go
@@ -13,5 +13,5 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", n.metrics)
-	return n.listenAdditional(ctx, "metrics-api", address, &http.Server{Handler: mux})
+	return n.listenAdditional(ctx, metricsAPI, address, mux)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/billing"
 	"github.com/monsoonrail/monsoonrail/internal/caller"
 	"github.com/monsoonrail/monsoonrail/internal/claim"
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/internal/engine"
 	"github.com/monsoonrail/monsoonrail/internal/guard"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
@@ -96,6 +97,7 @@
 	supervisor *supervisor.Supervisor
 	server     *http.Server
 	listener   net.Listener
+	guards     *connguard.Group
 	transport  *http.Transport
 	tunnels    tunnels
 	rngMu      sync.Mutex
@@ -135,6 +137,7 @@
 	n.rng = n.newRand(streamRouter)
 	n.log = opts.Log.WithFields(log.Fields{"node": opts.Settings.Node.ID, "incarnation": string(n.incarnation)})
 	n.supervisor = supervisor.New(n.log)
+	n.guards = n.newGuards()
 	if opts.LogDropped != nil {
 		n.metrics.Registry().GetOrRegister("log_lines_dropped", metrics.NewFunctionalGauge(opts.LogDropped))
 	}
@@ -156,17 +159,12 @@
 		n.parts.close()
 		return nil, err
 	}
-	n.listener, err = opts.Network.Listen(ctx, opts.Settings.Node.Listen)
+	listener, err := opts.Network.Listen(ctx, opts.Settings.Node.Listen)
 	if err != nil {
 		n.parts.close()
 		return nil, Error.Wrap(err)
 	}
-	n.server = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    opts.Settings.Caller.MaxHeaderBytes,
-	}
+	n.listener, n.server = n.guardListener(callerAPI, listener, handler)
 	n.addDuties()
 	return n, nil
 }
@@ -269,7 +267,8 @@
 }
 
 func (n *Node) addDuties() {
-	n.supervisor.Add(supervisor.Duty{Name: "caller-api", Run: n.serve})
+	n.supervisor.Add(supervisor.Duty{Name: callerAPI, Run: n.serve})
+	n.supervisor.Add(supervisor.Duty{Name: "connections", Run: n.guards.Run})
 	n.supervisor.Add(supervisor.Duty{Name: "sweep", Run: n.router.Sweep})
 	n.supervisor.Add(supervisor.Duty{Name: "load-poll", Run: n.pollLoads})
 	n.supervisor.Add(supervisor.Duty{Name: "server-ends", Run: n.probeClosedConnections})
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -64,10 +64,12 @@
 	// Network opens the connections.
 	Network tcp.Network
 	// Config is the configuration served to peers; nil serves none.
-	Config  ConfigSource
-	Log     log.Interface
-	Metrics metrics.Registry
-	Rand    *rand.Rand
+	Config ConfigSource
+	// Authenticated is called with each request whose signature is valid; nil does nothing.
+	Authenticated func(req *http.Request)
+	Log           log.Interface
+	Metrics       metrics.Registry
+	Rand          *rand.Rand
 	// Protocol and MinProtocol default to the package's constants of these names if they are 0.
 	Protocol    uint32
 	MinProtocol uint32
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -16,6 +16,13 @@
 func (e *Exchange) Handler() (string, http.Handler) {
 	path, handler := peerpbconnect.NewPeerServiceHandler(service{e},
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
+	if note := e.opts.Authenticated; note != nil {
+		served := handler
+		handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			note(req)
+			served.ServeHTTP(w, req)
+		})
+	}
 	return path, authenticate(e.opts.Keys, handler)
 }
 
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -27,11 +27,12 @@
 
 // Settings holds all sections of the settings.
 type Settings struct {
-	Node     Node     `group:"Node"`
-	Platform Platform `group:"Platform"`
-	Secrets  Secrets  `group:"Secrets"`
-	Caller   Caller   `group:"Caller API"`
-	Log      Log      `group:"Log"`
+	Node      Node      `group:"Node"`
+	Platform  Platform  `group:"Platform"`
+	Secrets   Secrets   `group:"Secrets"`
+	Caller    Caller    `group:"Caller API"`
+	Resources Resources `group:"Resources"`
+	Log       Log       `group:"Log"`
 }
 
 // section is one section of the settings; check returns its errors.
@@ -42,7 +43,7 @@
 // Check validates the settings; it returns all errors combined into one, or nil.
 func (s *Settings) Check() error {
 	var faults []error
-	for _, part := range []section{&s.Node, &s.Platform, &s.Secrets, &s.Caller, &s.Log} {
+	for _, part := range []section{&s.Node, &s.Platform, &s.Secrets, &s.Caller, &s.Resources, &s.Log} {
 		faults = append(faults, part.check()...)
 	}
 	return Error.Wrap(errs.Combine(faults...))
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -45,6 +45,7 @@
 			"--server-subset=1", "--session-secret=short", "--peer-secret=short", "--issue-secret=short", "--max-answers=1",
 			"--max-answer-bytes=1", "--max-kept-bytes=0", "--keep-answers=0s", "--max-header-bytes=1", "--log-level=loud",
 		},
+		{"--memory-bytes=1", "--max-files=1"},
 		{"--log-format=xml"},
 		{"--log-lines-per-second=0.5"},
 	} {
