Answer the requests that arrive while serve shuts down

Callers of serve saw their connections end without an answer when their requests arrived after the end of the drain, on connections that they had opened before: the fault of edge, in the other command.

Change: the guard drains the listener for callers, which serve has now, too.

--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -1,8 +1,11 @@
 package cmd
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -78,49 +81,93 @@
 
 // TestSignalsEndNoServingNode guards against a SIGHUP that ends a node of the product's own interface, which has no settings to reload.
 func TestSignalsEndNoServingNode(t *testing.T) {
-	c := qt.New(t)
-	ip := ownLoopbackIP()
-	address, unreachable := ip+":8001", "http://"+ip+":8002"
-	node := exec.Command(os.Args[0], "serve", "--node=n1", "--failure-domain=a", "--region=r", "--listen="+address, "--advertise=http://"+address,
-		"--peer-listen="+ip+":8003", "--metrics-listen="+ip+":8004", "--address-keep=1s", "--kv="+unreachable, "--vm-list="+unreachable, "--rating="+unreachable, "--weight-store="+unreachable)
-	node.Env = append(os.Environ(), runProgramEnv+"=1", "MONSOONRAIL_SESSION_SECRETS=session-secret-session-secret-01",
-		"MONSOONRAIL_PEER_SECRET=peer-secret-peer-secret-peer-001", "MONSOONRAIL_ISSUE_SECRETS=issue-secret-issue-secret-issue1")
-	var out bytes.Buffer
-	node.Stdout, node.Stderr = &out, &out
-	c.Assert(node.Start(), qt.IsNil)
-	exited := make(chan error, 1)
-	go func() { exited <- node.Wait() }()
-	isServing := func() bool {
-		resp, err := http.Get("http://" + address + "/healthz")
-		if err != nil {
-			return false
-		}
-		return resp.Body.Close() == nil
-	}
-	for end := time.Now().Add(20 * time.Second); !isServing(); time.Sleep(20 * time.Millisecond) {
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("node does not serve"))
-	}
-	c.Assert(node.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	n := startServingNode(t)
+	n.c.Assert(n.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
 	select {
-	case err := <-exited:
-		c.Fatalf("node ended at SIGHUP: %v\n%s", err, out.String())
+	case err := <-n.exited:
+		n.c.Fatalf("node ended at SIGHUP: %v\n%s", err, n.out.String())
 	case <-time.After(200 * time.Millisecond):
 	}
-	c.Check(isServing(), qt.IsTrue)
-	c.Assert(node.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	n.c.Check(n.isServing(), qt.IsTrue)
+	n.c.Assert(n.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	repeat := time.NewTicker(20 * time.Millisecond)
 	defer repeat.Stop()
 	for ; ; <-repeat.C {
 		select {
-		case err := <-exited:
-			c.Check(err, qt.IsNil, qt.Commentf("%s", out.String()))
+		case err := <-n.exited:
+			n.c.Check(err, qt.IsNil, qt.Commentf("%s", n.out.String()))
 			return
 		default:
 		}
 		// An error means that the process has ended.
-		_ = node.Process.Signal(syscall.SIGHUP)
-		_ = node.Process.Signal(syscall.SIGTERM)
+		_ = n.cmd.Process.Signal(syscall.SIGHUP)
+		_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
+// TestShutdownOfServingNodeLeavesNoRequestUnanswered guards against a node of the product's own interface that reads a request while it shuts down, and closes
+// the connection without an answer.
+func TestShutdownOfServingNodeLeavesNoRequestUnanswered(t *testing.T) {
+	n := startServingNode(t)
+	n.c.Assert(n.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	time.Sleep(addressKeep - 200*time.Millisecond)
+	conn, err := net.Dial("tcp", n.address)
+	n.c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	time.Sleep(400 * time.Millisecond)
+	n.c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Millisecond)), qt.IsNil)
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		// The node has closed the connection before it read a request.
+		return
+	}
+	n.c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	_, err = fmt.Fprintf(conn, "GET /healthz HTTP/1.1\r\nHost: %s\r\n\r\n", n.address)
+	n.c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	n.c.Assert(err, qt.IsNil)
+	n.c.Check(answer.Body.Close(), qt.IsNil)
+}
+
+// addressKeep is how long a servingNode serves on after SIGTERM.
+const addressKeep = time.Second
+
+// servingNode is a node of the product's own interface as a process.
+type servingNode struct {
+	c       *qt.C
+	cmd     *exec.Cmd
+	address string
+	// exited receives the result of the process, after which out holds its output.
+	exited chan error
+	out    bytes.Buffer
+}
+
+// startServingNode starts the process and waits until it serves.
+func startServingNode(t *testing.T) *servingNode {
+	ip := ownLoopbackIP()
+	n := &servingNode{c: qt.New(t), address: ip + ":8001", exited: make(chan error, 1)}
+	unreachable := "http://" + ip + ":8002"
+	n.cmd = exec.Command(os.Args[0], "serve", "--node=n1", "--failure-domain=a", "--region=r", "--listen="+n.address, "--advertise=http://"+n.address,
+		"--peer-listen="+ip+":8003", "--metrics-listen="+ip+":8004", "--address-keep="+addressKeep.String(), "--kv="+unreachable, "--vm-list="+unreachable,
+		"--rating="+unreachable, "--weight-store="+unreachable)
+	n.cmd.Env = append(os.Environ(), runProgramEnv+"=1", "MONSOONRAIL_SESSION_SECRETS=session-secret-session-secret-01",
+		"MONSOONRAIL_PEER_SECRET=peer-secret-peer-secret-peer-001", "MONSOONRAIL_ISSUE_SECRETS=issue-secret-issue-secret-issue1")
+	n.cmd.Stdout, n.cmd.Stderr = &n.out, &n.out
+	n.c.Assert(n.cmd.Start(), qt.IsNil)
+	t.Cleanup(func() { _ = n.cmd.Process.Kill() })
+	go func() { n.exited <- n.cmd.Wait() }()
+	for end := time.Now().Add(20 * time.Second); !n.isServing(); time.Sleep(20 * time.Millisecond) {
+		n.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("node does not serve"))
+	}
+	return n
+}
+
+// isServing reports whether the node answers.
+func (n *servingNode) isServing() bool {
+	resp, err := http.Get("http://" + n.address + "/healthz")
+	if err != nil {
+		return false
 	}
+	return resp.Body.Close() == nil
 }
 
 // TestClosedLogPipeEndsNoNode guards against the end of the process that reads a node's log ending the node, and with it the calls under way.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -70,7 +70,7 @@
 	}
 	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancelShutdown()
-	if err := n.server.Shutdown(shutdownCtx); err != nil {
+	if err := n.guards.Drain(shutdownCtx, callerAPI); err != nil {
 		n.log.WithError(err).Warn("connections still open at shutdown")
 	}
 	n.parts.flush(shutdownCtx)
