--- a/internal/cmd/edge_process_test.go
+++ b/internal/cmd/edge_process_test.go
@@ -90,7 +90,8 @@
 	c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 
 	p.cmd = exec.Command(os.Args[0], "edge", "--settings", p.settings)
-	p.cmd.Env = append(os.Environ(), runProgramEnv+"=1")
+	// The race detector would sleep for a second at the exit.
+	p.cmd.Env = append(os.Environ(), runProgramEnv+"=1", "GORACE=atexit_sleep_ms=0")
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
 	if prepare != nil {
 		prepare(p.cmd)
--- a/internal/cmd/signals_test.go
+++ b/internal/cmd/signals_test.go
@@ -52,6 +52,9 @@
 // TestStopKeepsToTheSettingsBeforeIt guards against a stop by settings that were replaced just before it: with a shorter grace period, the process would be killed
 // while it still answers requests.
 func TestStopKeepsToTheSettingsBeforeIt(t *testing.T) {
+	// A stop without requests takes more than half of its grace period, so that the longer one is over long after the shorter one.
+	const longer, shorter = 30 * time.Second, 5 * time.Second
+	graceSetting := func(grace time.Duration) []byte { return fmt.Appendf(nil, "graceS = %d", int(grace.Seconds())) }
 	for _, test := range []struct {
 		name    string
 		signals []os.Signal
@@ -61,18 +64,21 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			p := startEdgeProcess(t, nil)
-			old, err := os.ReadFile(p.settings)
-			p.c.Assert(err, qt.IsNil)
-			shorter := bytes.Replace(old, fmt.Appendf(nil, "graceS = %d", int(gracePeriod.Seconds())), []byte("graceS = 1"), 1)
-			p.c.Assert(os.WriteFile(p.settings, shorter, 0o600), qt.IsNil)
+			setGrace := func(path string, from, to time.Duration) {
+				text, err := os.ReadFile(path)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, bytes.Contains(text, graceSetting(from)), qt.IsTrue)
+				qt.Assert(t, os.WriteFile(path, bytes.Replace(text, graceSetting(from), graceSetting(to), 1), 0o600), qt.IsNil)
+			}
+			p := startEdgeProcess(t, func(cmd *exec.Cmd) { setGrace(cmd.Args[len(cmd.Args)-1], gracePeriod, longer) })
+			setGrace(p.settings, longer, shorter)
 			for _, signal := range test.signals {
 				p.c.Assert(p.cmd.Process.Signal(signal), qt.IsNil)
 			}
 			select {
 			case err := <-p.exited:
 				p.c.Check(err, qt.IsNil)
-			case <-time.After(time.Second):
+			case <-time.After(shorter):
 				p.c.Error("the process has not ended within its grace period")
 			}
 		})
