--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -179,6 +179,7 @@
 func (c *conn) Close() error {
 	l := c.listener
 	l.mu.Lock()
+	// A connection that the guard has ended was counted with its cause.
 	isNotServed := c.isHandedOver && !c.isBegun && !c.isEnded && !c.isHTTP2
 	l.leaveQueue(c)
 	l.forget(c)
--- a/internal/connguard/drain.go
+++ b/internal/connguard/drain.go
@@ -20,8 +20,8 @@
 )
 
 // Drain stops accepting connections and waits until all of them have ended, at most until ctx ends. Connections without a request are closed after a short
-// wait. A request of which a byte has been read is served: unlike http.Server.Shutdown, which closes the connections whose heads it reads after its begin.
-// Answers to requests that arrive from now on should have "Connection: close", since their connections are kept otherwise.
+// wait. A request of which a byte has been read is served, unlike with http.Server.Shutdown, which closes the connections whose heads it reads after its begin.
+// Answers should say "Connection: close" from now on, so that their clients know before they send a further request.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.mu.Lock()
 	if l.drained == nil {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -195,7 +195,7 @@
 	return d.g.opts.Versions.Pick(d.service.Name, d.Session, string(d.ID), d.g.prompts.isShort(d.route.Name), now)
 }
 
-// hasServer reports whether a server takes the request now. It changes nothing of the current attempt.
+// hasServer reports whether a server takes the request now, which may be the one of the current attempt. It changes nothing of that attempt.
 func (d *dispatcher) hasServer() bool {
 	now, nodes := time.Now(), d.g.opts.RecentNodeCount()
 	choice := d.pickVersion(now)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,7 +92,8 @@
 	loggedWait int
 	// begunStreamDelay is the last wait of a begun stream; 0 before the first one.
 	begunStreamDelay time.Duration
-	// isReserved is set once the next attempt was reserved while the current one went on.
+	// isReserved is set once the next attempt was reserved while the current one went on: it has passed checkAttempt, and its retry is drawn from the budget.
+	// checkAttempt uses the reservation up, returnReservation gives back one that is left.
 	isReserved bool
 	// lastErrorAnswer is the last error answer of a server, forwarded to the caller if no other attempt succeeds.
 	lastErrorAnswer *wholeAnswer
@@ -212,7 +213,7 @@
 }
 
 // checkAttempt returns nil if another attempt is allowed, and the rejection otherwise. isRetry is set if the request has reached a server before: the attempt then
-// draws on the retry budget.
+// draws on the retry budget. A reserved attempt has passed before and is used up.
 func (d *dispatcher) checkAttempt(ctx context.Context, isRetry bool) *rejection {
 	switch {
 	case isEndedByStop(ctx):
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -217,8 +217,8 @@
 	}
 }
 
-// DropSilent closes the connections on silent paths on which nothing has arrived for silentTimeout, and later those on which nothing arrives from now on, if their
-// requests may be abandoned. It is called when a path is found to be silent.
+// DropSilent ends the requests on silent paths for which nothing has arrived for silentTimeout, and later those for which nothing arrives from now on, if they may be
+// abandoned. Where an answer has begun, its reader decides (see Answer.OnSilence). It is called when a path is found to be silent.
 func (p *Pool) DropSilent() {
 	p.dropSilent()
 	time.AfterFunc(silentTimeout, p.dropSilent)
