Let go of a request's body when the watch over its answer ends

Cause: the timer of that watch refers to the request, and the runtime keeps stopped timers for a while, each with a body of up to 4 MiB that the budget no longer counts. Class of fault: what is counted as free is still held.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -62,31 +62,44 @@
 	}
 }
 
+// headWatch waits for the head of an attempt's answer.
+type headWatch struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	// d, ctx and abandon are nil once the watch has ended: the runtime keeps a stopped timer for a while, which must not keep the request's body.
+	d       *dispatcher
+	ctx     context.Context
+	abandon func()
+}
+
 // watchHead calls abandon once the head of the current attempt's answer has taken too long and another attempt may follow. end ends the watch; until then
 // nothing else may use the dispatcher.
 func (d *dispatcher) watchHead(ctx context.Context, abandon func()) (end func()) {
-	var mu sync.Mutex
-	var timer *time.Timer
-	isEnded := false
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(d.answerTimeout(), func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if isEnded || !time.Now().Before(d.deadline) {
-			// The deadline ends the attempt by itself.
-			return
-		}
-		if until, goesOn := d.awaitLonger(ctx); goesOn {
-			timer.Reset(time.Until(until))
-			return
-		}
-		abandon()
-	})
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		isEnded = true
-		timer.Stop()
+	w := &headWatch{d: d, ctx: ctx, abandon: abandon}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(d.answerTimeout(), w.check)
+	return w.end
+}
+
+// check decides on a head that has taken too long.
+func (w *headWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.d == nil || !time.Now().Before(w.d.deadline) {
+		// The deadline ends the attempt by itself.
+		return
 	}
+	if until, goesOn := w.d.awaitLonger(w.ctx); goesOn {
+		w.timer.Reset(time.Until(until))
+		return
+	}
+	w.abandon()
+}
+
+func (w *headWatch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+	w.d, w.ctx, w.abandon = nil, nil, nil
 }
