connguard: leave small processes room beside the Go heap

Streams with large bodies at the peer port of serve took up to 62 MiB of 64. Of 64 MiB the Go runtime had 32 as its soft limit, the pages of the program take 25 (RssFile), and a crowd allocates several MiB beyond the limit while a collection runs.

The runtime gets 0.6 of the memory as before, but no more than 40 MiB leave of it and at least 0.375. Machines from 100 MB on see no change.

--- a/internal/connguard/group.go
+++ b/internal/connguard/group.go
@@ -24,10 +24,12 @@
 	minConns = 8
 	// sweepInterval is the interval at which connections that take too long are closed and what was closed is logged.
 	sweepInterval = 500 * time.Millisecond
-	// runtimeShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the collector works harder, and nonHeapMemory
-	// what the process has on top: the pages of the program, and what the kernel holds for its connections.
-	runtimeShare  = 0.6
-	nonHeapMemory = 32 << 20
+	// runtimeShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the collector works harder. It is less, down
+	// to minRuntimeShare, where that leaves no room for nonHeapMemory: the pages of the program, what the kernel holds for its connections, and what is allocated
+	// beyond the limit while a collection runs.
+	runtimeShare    = 0.6
+	minRuntimeShare = 0.375
+	nonHeapMemory   = 40 << 20
 )
 
 // Resources are what a process may use of its machine; 0 means unknown.
@@ -40,7 +42,8 @@
 // LimitRuntime sets the memory limit of the Go runtime of this process.
 func (r Resources) LimitRuntime() {
 	if r.MemoryBytes > 0 {
-		debug.SetMemoryLimit(min(int64(runtimeShare*float64(r.MemoryBytes)), max(r.MemoryBytes-nonHeapMemory, r.MemoryBytes/2)))
+		memory := float64(r.MemoryBytes)
+		debug.SetMemoryLimit(int64(min(runtimeShare*memory, max(memory-nonHeapMemory, minRuntimeShare*memory))))
 	}
 }
 
