gateway: keep requests on silent paths while nothing may replace them

A request whose answer hadn't begun ended with 502 once its path was taken for silent, although no other attempt was allowed, such as when the retry budget was used up: only new connections to its server were silent, and the answer was on its way.

Cause: the pool decided by what was known when the request was sent, and closed the connection before an attempt was reserved. It asks the request now, as it does where the answer has begun, and the head watch reserves the attempt first.

--- a/internal/edge/silent_heads_test.go
+++ b/internal/edge/silent_heads_test.go
@@ -13,7 +13,6 @@
 
 // TestUnbegunStreamOutlastsSilentDials is TestStreamOutlastsSilentDials for a stream whose server still reads the prompt.
 func TestUnbegunStreamOutlastsSilentDials(t *testing.T) {
-	skipKnownRed(t)
 	withTestFleet(t, func(f *testFleet) {
 		_, end := f.replaceModelServers(platformfake.ServerOptions{Latency: 3 * time.Second, Pause: 100 * time.Millisecond, Events: 6, Confidence: 90})
 		defer end()
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -26,19 +26,23 @@
 	})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	endHeadWatch := d.watchHead(ctx, cancel)
+	headWatch := d.watchHead(ctx, cancel)
 	endWatch := d.watchFirstEvent(server)
 	defer endWatch()
 	load := newAttemptLoad(server, d.unread)
 	defer load.end()
 	endAttempt := d.g.opts.Versions.BeginAttempt(d.service.Name, server.Version)
 	defer func() { endAttempt(d.isAnswered) }()
-	answer, err := d.g.opts.Pool.Send(sendCtx, server.Address, &upstream.Request{
+	req := &upstream.Request{
 		ID: string(d.ID), UsedConns: d.usedConns,
 		Method: d.method, Target: d.target, Host: d.host, Header: header, Body: d.body, HasBody: d.hasBody,
-		MayAbandon: !d.isLastAttempt(), QuietTimeout: d.quietTimeout(),
-	})
-	endHeadWatch()
+		QuietTimeout: d.quietTimeout(),
+	}
+	if !d.isLastAttempt() {
+		req.MayAbandon = headWatch.mayAbandon
+	}
+	answer, err := d.g.opts.Pool.Send(sendCtx, server.Address, req)
+	headWatch.end()
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The caller disconnected; this is no failure of the server.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -72,14 +72,14 @@
 	abandon func()
 }
 
-// watchHead calls abandon once the head of the current attempt's answer has taken too long and another attempt may follow. end ends the watch; until then
-// nothing else may use the dispatcher.
-func (d *dispatcher) watchHead(ctx context.Context, abandon func()) (end func()) {
+// watchHead calls abandon once the head of the current attempt's answer has taken too long and another attempt may follow. Nothing else may use the dispatcher
+// until the watch has ended.
+func (d *dispatcher) watchHead(ctx context.Context, abandon func()) *headWatch {
 	w := &headWatch{d: d, ctx: ctx, abandon: abandon}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(d.answerTimeout(), w.check)
-	return w.end
+	return w
 }
 
 // check decides on a head that has taken too long.
@@ -97,6 +97,17 @@
 	w.abandon()
 }
 
+// mayAbandon reports whether the attempt ends because the path to its server is silent.
+func (w *headWatch) mayAbandon() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.d == nil {
+		return false
+	}
+	_, goesOn := w.d.awaitLonger(w.ctx)
+	return !goesOn
+}
+
 func (w *headWatch) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,8 +41,9 @@
 	Body   []byte
 	// HasBody means that the caller sent a body, which may be empty.
 	HasBody bool
-	// MayAbandon means that the request may be sent to another server if the path to the first one falls silent.
-	MayAbandon bool
+	// MayAbandon is called if the path to the server falls silent before the answer has begun, and reports whether the request is abandoned. Nil means that it may
+	// not be sent to another server.
+	MayAbandon func() bool
 	// QuietTimeout is the time after which it is unusual that no answer has begun; 0 if answers may take any time.
 	QuietTimeout time.Duration
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,8 +70,8 @@
 	// idle holds the idle connections by address, the most recently used one last.
 	idle   map[string][]*conn
 	closed bool
-	// active holds the connections with a request that may be abandoned.
-	active map[*conn]struct{}
+	// active holds the connections with a request that may be abandoned, with its MayAbandon.
+	active map[*conn]func() bool
 	// refusedAt holds when each address last refused a connection, for refusalTTL.
 	refusedAt map[string]time.Time
 	// refusals are the answers to IsRefused that are awaited, by address.
@@ -99,7 +99,7 @@
 	if opts.CheckPath == nil {
 		opts.CheckPath = func(string) {}
 	}
-	return &Pool{opts: opts, idle: make(map[string][]*conn), active: make(map[*conn]struct{}), refusedAt: make(map[string]time.Time)}
+	return &Pool{opts: opts, idle: make(map[string][]*conn), active: make(map[*conn]func() bool), refusedAt: make(map[string]time.Time)}
 }
 
 // ConnID identifies a connection of a pool.
@@ -209,10 +209,14 @@
 	return c.SetReadDeadline(until) == nil
 }
 
-// drop ends the request on a connection whose path is silent. Once its answer has begun, the reader decides whether the request stays.
-func (c *conn) drop() {
+// drop ends the request on a connection whose path is silent, if it may be abandoned. Once its answer has begun, the reader decides whether the request stays.
+func (c *conn) drop(mayAbandon func() bool) {
+	isAnswering := c.isAnswering.Load()
+	if !isAnswering && !mayAbandon() {
+		return
+	}
 	c.isDropped.Store(true)
-	if !c.isAnswering.Load() || c.SetReadDeadline(time.Unix(1, 0)) != nil {
+	if !isAnswering || c.SetReadDeadline(time.Unix(1, 0)) != nil {
 		_ = c.Close()
 	}
 }
@@ -226,28 +230,28 @@
 
 func (p *Pool) dropSilent() {
 	since := time.Now().Add(-silentTimeout).UnixNano()
-	var silent []*conn
+	silent := make(map[*conn]func() bool)
 	p.mu.Lock()
-	for c := range p.active {
+	for c, mayAbandon := range p.active {
 		if c.lastReceived.Load() <= since && !p.opts.IsUsable(c.Conn, c.address) {
-			silent = append(silent, c)
+			silent[c] = mayAbandon
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range silent {
-		c.drop()
+	for c, mayAbandon := range silent {
+		c.drop(mayAbandon)
 	}
 }
 
 // begin records that a request is sent on a connection.
 func (p *Pool) begin(c *conn, req *Request) {
 	c.lastReceived.Store(time.Now().UnixNano())
-	if !req.MayAbandon {
+	if req.MayAbandon == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.active[c] = struct{}{}
+	p.active[c] = req.MayAbandon
 }
 
 // end records that the request on a connection has ended.
