gateway: keep a begun stream with its only server for longer

Streams of a stopping node were cut at the end of the stop: their server, the only one, paused for 1.5 s, was given up after 1 s, and was full when the node came back to it.

Cause: a silent server counted as its own replacement, so that the stream was given up for a new connection, which loses the place at the server. A begun stream stays for twice the usual time now if no other server takes it. It is still given up at once where the path is silent.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/selfreport"
 	"github.com/monsoonrail/monsoonrail/internal/versionrollout"
 	"github.com/monsoonrail/monsoonrail/internal/workload"
+	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
 
 const (
@@ -196,17 +197,24 @@
 }
 
 // hasServer reports whether a server takes the request now, which may be the one of the current attempt. It changes nothing of that attempt.
-func (d *dispatcher) hasServer() bool {
+func (d *dispatcher) hasServer() bool { return d.hasServerBesides("") }
+
+// hasServerBesides is hasServer for servers other than the given one.
+func (d *dispatcher) hasServerBesides(except api.ServerID) bool {
 	now, nodes := time.Now(), d.g.opts.RecentNodeCount()
+	hasOther := func(choice versionrollout.Choice) bool {
+		admitting := admittingServers(d.versionPool(choice).Present(), nodes, now)
+		return slices.ContainsFunc(admitting, func(m *backend.TrackedServer) bool { return m.ID != except })
+	}
 	choice := d.pickVersion(now)
-	if len(admittingServers(d.versionPool(choice).Present(), nodes, now)) > 0 {
+	if hasOther(choice) {
 		return true
 	}
 	if !choice.UseTarget || choice.IsStrict {
 		return false
 	}
 	choice.UseTarget = false
-	return len(admittingServers(d.versionPool(choice).Present(), nodes, now)) > 0
+	return hasOther(choice)
 }
 
 // versionPool returns the servers of the chosen version. If none is in service, it returns those of all versions, unless the choice is strict. A server
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -22,6 +22,7 @@
 	reasonStaleKeys          = "keys may be old"
 	reasonStopping           = "node stops"
 	reasonNoServer           = "no server"
+	reasonNoOtherServer      = "no other server"
 	reasonEvacuated          = "failure domains evacuated"
 	reasonRegions            = "no server in an allowed region"
 	reasonBudget             = "retry budget used up"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,13 +30,15 @@
 	defer memory.Release()
 	// The connection's unread bytes are memory, too: it is closed before other answers may take the memory.
 	defer answer.Close()
-	answer.OnSilence(func() (time.Time, bool) { return d.awaitLonger(ctx) })
+	progressAt := time.Now()
+	answer.OnSilence(func() (time.Time, bool) { return d.awaitEvents(ctx, server, progressAt) })
 	events := upstream.NewEventReader(answer.Body, memory)
 	eventsBefore := d.eventsSent
 	isProgress := true
 	for {
 		// Only an event with an id is progress: a server in trouble may send other bytes without end.
 		if isProgress {
+			progressAt = time.Now()
 			if err := answer.SetReadDeadline(d.silenceDeadline()); err != nil {
 				return d.streamFailed(ctx, server, err, startedAt)
 			}
@@ -122,17 +125,18 @@
 	if d.isLastAttempt() {
 		return d.deadline
 	}
-	pause := d.route.MaxPause
-	if pause == 0 {
-		pause = defaultMaxPause
-	}
-	until := time.Now().Add(silenceFactor * pause)
+	until := time.Now().Add(d.silence())
 	if until.After(d.deadline) {
 		return d.deadline
 	}
 	return until
 }
 
+// silence returns the time without events that is unusually long.
+func (d *dispatcher) silence() time.Duration {
+	return silenceFactor * cmp.Or(d.route.MaxPause, defaultMaxPause)
+}
+
 // wasSent reports whether the event was already sent to the caller; a resumed stream may begin with such events.
 func (d *dispatcher) wasSent(id string) bool {
 	last, err := strconv.ParseInt(d.lastEventID, 10, 64)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/monsoonrail/monsoonrail/internal/backend"
 )
 
 // silenceCheckInterval is the interval at which a request whose server is silent looks for another one.
 const silenceCheckInterval = 500 * time.Millisecond
 
+// onlyServerFactor times the usual silence is how long a begun stream stays with its silent server if no other one takes it.
+const onlyServerFactor = 2
+
 // awaitLonger reports whether the request stays with its server, which has been silent for unusually long, and until when: it does while no further
 // attempt may follow, since a silent server may still answer.
 func (d *dispatcher) awaitLonger(ctx context.Context) (until time.Time, goesOn bool) {
@@ -22,10 +28,22 @@
 		return time.Time{}, false
 	}
 	d.logWait("silent server kept", obstacle)
-	if until = now.Add(silenceCheckInterval); until.After(d.deadline) {
-		until = d.deadline
+	return earliest(now.Add(silenceCheckInterval), d.deadline), true
+}
+
+// earliest returns the first of some times.
+func earliest(times ...time.Time) time.Time { return slices.MinFunc(times, time.Time.Compare) }
+
+// awaitEvents is awaitLonger for a begun stream. If only its silent server takes the request, it stays there for twice the usual time: a new connection loses the place
+// at the server, which may be taken by then.
+func (d *dispatcher) awaitEvents(ctx context.Context, server *backend.TrackedServer, progressAt time.Time) (until time.Time, goesOn bool) {
+	now, end := time.Now(), progressAt.Add(onlyServerFactor*d.silence())
+	isPathSilent := now.Sub(progressAt) < d.silence()
+	if isPathSilent || !now.Before(end) || !now.Before(d.deadline) || d.hasServerBesides(server.ID) {
+		return d.awaitLonger(ctx)
 	}
-	return until, true
+	d.logWait("silent server kept", reasonNoOtherServer)
+	return earliest(now.Add(silenceCheckInterval), end, d.deadline), true
 }
 
 // reserveAttempt reserves a further attempt, which follows on the current one, or returns the reason why there may be none.
