--- a/internal/connguard/group.go
+++ b/internal/connguard/group.go
@@ -25,11 +25,12 @@
 	// sweepInterval is the interval at which connections that take too long are closed and what was closed is logged.
 	sweepInterval = 500 * time.Millisecond
 	// runtimeShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the collector works harder. It is less, down
-	// to minRuntimeShare, where that leaves no room for nonHeapMemory: the pages of the program, what the kernel holds for its connections, and what is allocated
-	// beyond the limit while a collection runs.
-	runtimeShare    = 0.6
-	minRuntimeShare = 0.375
-	nonHeapMemory   = 40 << 20
+	// to minRuntimeShare or minRuntimeMemory, where that leaves no room for nonHeapMemory: the pages of the program, what the kernel holds for its connections, and
+	// what is allocated beyond the limit while a collection runs.
+	runtimeShare     = 0.6
+	minRuntimeShare  = 0.375
+	minRuntimeMemory = 16 << 20
+	nonHeapMemory    = 40 << 20
 )
 
 // Resources are what a process may use of its machine; 0 means unknown.
@@ -41,12 +42,17 @@
 
 // LimitRuntime sets the memory limit of the Go runtime of this process.
 func (r Resources) LimitRuntime() {
-	if r.MemoryBytes > 0 {
-		memory := float64(r.MemoryBytes)
-		debug.SetMemoryLimit(int64(min(runtimeShare*memory, max(memory-nonHeapMemory, minRuntimeShare*memory))))
+	if limit := r.runtimeLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 }
 
+// runtimeLimit returns the memory limit of the Go runtime; 0 means none.
+func (r Resources) runtimeLimit() int64 {
+	memory := float64(r.MemoryBytes)
+	return int64(min(runtimeShare*memory, max(memory-nonHeapMemory, minRuntimeShare*memory, minRuntimeMemory)))
+}
+
 // GroupOptions configures NewGroup.
 type GroupOptions struct {
 	Resources Resources
