node: ping the HTTP/2 connections of peers

Without an idle timeout, the connection of a peer that vanished after it had authenticated stayed until TCP gave it up, and counted against the connections of the peer port meanwhile: the guard closes none that has authenticated.

The server sends a ping after 30 s without data and closes the connection if no reply comes for 15 s. TestConnectionsOfVanishedPeersEnd failed before (1 connection left after 90 s).

--- a/internal/node/guards.go
+++ b/internal/node/guards.go
@@ -23,6 +23,9 @@
 	// maxFrameBytes bounds a frame of HTTP/2, maxUnreadBytes the data on a connection that has arrived and is not read.
 	maxFrameBytes  = 16 << 10
 	maxUnreadBytes = 64 << 10
+	// peerPingInterval is the time without received data after which a peer's connection of HTTP/2 is checked by a ping, peerPingTimeout the wait for the reply.
+	peerPingInterval = 30 * time.Second
+	peerPingTimeout  = 15 * time.Second
 )
 
 // Names of the listeners.
@@ -68,6 +71,7 @@
 		server.IdleTimeout = 0
 		server.Protocols, server.HTTP2 = tcp.UnencryptedProtocols(), &http.HTTP2Config{
 			MaxReadFrameSize: maxFrameBytes, MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes,
+			SendPingTimeout: peerPingInterval, PingTimeout: peerPingTimeout,
 		}
 	}
 	return guarded, server
--- a/internal/node/listen_test.go
+++ b/internal/node/listen_test.go
@@ -8,11 +8,14 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/monsoonrail/monsoonrail/internal/connguard"
 	"github.com/monsoonrail/monsoonrail/internal/fake/memnet"
+	"github.com/monsoonrail/monsoonrail/internal/tcp"
 )
 
 // TestFailedStartClosesListener closes a node whose duties never ran, as New does if a later step fails: the address must be
@@ -84,3 +87,32 @@
 	runtime.AddCleanup(observed, func(freed *atomic.Int64) { freed.Add(1) }, l.freed)
 	return observed, nil
 }
+
+// TestConnectionsOfVanishedPeersEnd cuts off a peer that has authenticated, without a word to the node.
+func TestConnectionsOfVanishedPeersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const address = "10.0.0.1:9000"
+		c, network := qt.New(t), memnet.New()
+		n := &Node{opts: Options{Network: network.Host("10.0.0.1")}}
+		n.guards = n.newGuards()
+		opened, err := n.opts.Network.Listen(context.Background(), address)
+		c.Assert(err, qt.IsNil)
+		listener, server := n.guardListener(peerAPI, opened, handleAuthenticated(http.NotFoundHandler()))
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		transport := tcp.NewHTTP2Transport(network.Host("10.0.0.2"))
+		defer transport.CloseIdleConnections()
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", nil)
+		c.Assert(err, qt.IsNil)
+		resp, err := transport.RoundTrip(req)
+		c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		guarded := listener.(*connguard.Listener)
+		conns, _ := guarded.Usage()
+		c.Check(conns, qt.Equals, 1)
+		network.Silence("10.0.0.1", "10.0.0.2")
+		time.Sleep(2 * (peerPingInterval + peerPingTimeout))
+		conns, _ = guarded.Usage()
+		c.Check(conns, qt.Equals, 0)
+	})
+}
