gateway: bound the prompt sizes that callers claim in paces

A caller that claims a prompt of 9.2e18 tokens had a sound version counted as slow at once during a roll-out (on amd64; never on arm64): the time after which its answer is slow overflowed. With 1e12 tokens the timer of the watch was set for more than a year, and a stopped timer may stay in the runtime until its time.

The claim is bounded by the largest prompt that a server can read, as placement does already. TestClaimedPromptsMakeNoVersionSlow failed before (counted as slow within 1 s).

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -66,7 +66,7 @@
 		return
 	}
 	d.g.opts.Versions.Observe(versionrollout.Outcome{
-		Service: d.service.Name, Version: server.Version, Route: d.firstEventKey(), Pace: versionrollout.Pace(took, d.PromptTokens, 0),
+		Service: d.service.Name, Version: server.Version, Route: d.firstEventKey(), Pace: versionrollout.Pace(took, d.believedPromptTokens(), 0),
 	})
 }
 
@@ -98,7 +98,7 @@
 		return func() {}
 	}
 	outcome := versionrollout.Outcome{Service: d.service.Name, Version: server.Version, Route: key, Pace: limit}
-	timer := time.AfterFunc(versionrollout.DurationAtPace(limit, d.PromptTokens, 0), func() {
+	timer := time.AfterFunc(versionrollout.DurationAtPace(limit, d.believedPromptTokens(), 0), func() {
 		isFirstSlow.Store(true)
 		d.g.opts.Versions.Observe(outcome)
 	})
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -109,6 +109,11 @@
 	return chosen, nil
 }
 
+// believedPromptTokens returns the size of the prompt that the caller claims, at most that of the largest prompt that a server can read.
+func (d *dispatcher) believedPromptTokens() int {
+	return min(max(0, d.PromptTokens), largestPrompt(d.service.Engine))
+}
+
 // largestPrompt returns the number of tokens of the largest prompt that a server can read; callers may claim any number.
 func largestPrompt(engine *route.Engine) int {
 	if engine == nil || engine.CacheTokens <= 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -62,7 +62,7 @@
 
 // pace returns the pace of the current attempt. eventsBefore is the number of events that earlier attempts had sent.
 func (d *dispatcher) pace(startedAt time.Time, eventsBefore int) float64 {
-	return versionrollout.Pace(time.Since(startedAt), d.PromptTokens, d.eventsSent-eventsBefore)
+	return versionrollout.Pace(time.Since(startedAt), d.believedPromptTokens(), d.eventsSent-eventsBefore)
 }
 
 // brokenOff returns the error of an answer that was broken off, whose last read returned err.
