connguard: leave the Go runtime 24 MiB, or half of a small memory

The limit of 0.375 of the memory, 18 MiB, is close to what is live there, and the collector took the processor.

--- a/internal/connguard/group.go
+++ b/internal/connguard/group.go
@@ -24,13 +24,13 @@
 	minConns = 8
 	// sweepInterval is the interval at which connections that take too long are closed and what was closed is logged.
 	sweepInterval = 500 * time.Millisecond
-	// runtimeShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the collector works harder. It is less, down
-	// to minRuntimeShare or minRuntimeMemory, where that leaves no room for nonHeapMemory: the pages of the program, what the kernel holds for its connections, and
-	// what is allocated beyond the limit while a collection runs.
+	// runtimeShare is the share of the machine's memory that the Go runtime gets as its soft memory limit, above which the collector works harder. It is less where
+	// that leaves no room for nonHeapMemory: the pages of the program, what the kernel holds for its connections, and what is allocated beyond the limit while a
+	// collection runs. But the runtime keeps minRuntimeMemory, or minRuntimeShare of a machine that has too little for that.
 	runtimeShare     = 0.6
-	minRuntimeShare  = 0.375
-	minRuntimeMemory = 16 << 20
 	nonHeapMemory    = 40 << 20
+	minRuntimeMemory = 24 << 20
+	minRuntimeShare  = 0.5
 )
 
 // Resources are what a process may use of its machine; 0 means unknown.
@@ -50,7 +50,7 @@
 // runtimeLimit returns the memory limit of the Go runtime; 0 means none.
 func (r Resources) runtimeLimit() int64 {
 	memory := float64(r.MemoryBytes)
-	return int64(min(runtimeShare*memory, max(memory-nonHeapMemory, minRuntimeShare*memory, minRuntimeMemory)))
+	return int64(min(runtimeShare*memory, max(memory-nonHeapMemory, min(minRuntimeMemory, minRuntimeShare*memory))))
 }
 
 // GroupOptions configures NewGroup.
