relay: end unread answers that keep other readers out

Cause: the room for answers goes to those who come first, each for 2 s. If there is no room, the answer that has waited longest for its reader ends now, after 0.5 s at least. Readers that are turned away ask another node, as before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,9 +37,10 @@
 	minHeldBytes   = 256 << 10
 	maxHeldAnswers = 8
 	// minTimedBytes is the encoded size from which on an answer below minHeldBytes has to be read within maxSmallTransfer, maxHeldBytes bounds the size of these
-	// together.
+	// together. If there is no room for another one, the oldest is ended after minSmallTransfer.
 	minTimedBytes    = 32 << 10
 	maxSmallTransfer = 2 * time.Second
+	minSmallTransfer = 500 * time.Millisecond
 	maxHeldBytes     = 2 << 20
 	// maxBuilding bounds the answers that are encoded at a time.
 	maxBuilding = 2
