--- a/internal/gateway/evidence_test.go
+++ b/internal/gateway/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,14 +17,14 @@
 // slowVersions knows a pace above which answers are slow, and counts the outcomes.
 type slowVersions struct {
 	Versions
-	observed int
+	observed atomic.Int64
 }
 
 // SlowPace implements Versions.
 func (*slowVersions) SlowPace(route.Service, route.Name) float64 { return 4 }
 
 // Observe implements Versions.
-func (v *slowVersions) Observe(versionrollout.Outcome) { v.observed++ }
+func (v *slowVersions) Observe(versionrollout.Outcome) { v.observed.Add(1) }
 
 // TestClaimedPromptsMakeNoVersionSlow claims a prompt of a size that no server can read: an answer on its way is neither slow at once, nor never.
 func TestClaimedPromptsMakeNoVersionSlow(t *testing.T) {
@@ -38,10 +39,10 @@
 			}
 			defer d.watchFirstEvent(&backend.TrackedServer{})()
 			time.Sleep(time.Second)
-			qt.Check(t, versions.observed, qt.Equals, 0)
+			qt.Check(t, versions.observed.Load(), qt.Equals, int64(0))
 			time.Sleep(versionrollout.DurationAtPace(4, maxPromptTokens, 0))
 			synctest.Wait()
-			qt.Check(t, versions.observed, qt.Equals, 1)
+			qt.Check(t, versions.observed.Load(), qt.Equals, int64(1))
 		})
 	}
 }
