connguard: wait for a connection's end in a test of bodies

The first client's connection had taken more than half of the memory and was still ending, and while it does new connections are refused, as the design says. The test waits until it has ended, and checks what it did.

--- a/internal/connguard/peers_test.go
+++ b/internal/connguard/peers_test.go
@@ -236,6 +236,8 @@
 			} else {
 				p.c.Check(status, qt.Equals, 0)
 			}
+			// While the connection ends, its memory keeps new ones out.
+			synctest.Wait()
 			p.c.Check(p.served, qt.HasLen, 0)
 			p.c.Check(p.closed, qt.DeepEquals, map[connguard.Cause]int{connguard.NoRoom: 1})
 			for _, size := range []int{room / 4, 4 * room} {
