memnet: name the operation in errors of closed connections

A read of a connection that its own side had closed failed with a plain net.ErrClosed, which net/http answers with status 400 before it closes the other direction; the test took the 400 for an open connection. TCP reports a net.OpError, to which net/http answers nothing. The test's network reports one too now.

--- a/internal/fake/memnet/conn.go
+++ b/internal/fake/memnet/conn.go
@@ -1,6 +1,7 @@
 package memnet
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -21,10 +22,24 @@
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) { return c.in.read(p) }
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.in.read(p)
+	return n, c.opError("read", err)
+}
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.out.write(p)
+	return n, c.opError("write", err)
+}
+
+// opError wraps the error of an operation on a closed connection as net.TCPConn does: to a plain one net/http answers with status 400.
+func (c *conn) opError(operation string, err error) error {
+	if !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return &net.OpError{Op: operation, Net: "tcp", Source: c.local, Addr: c.remote, Err: err}
+}
 
 // Close implements net.Conn. Bytes written before Close are still delivered.
 func (c *conn) Close() error {
--- a/internal/fake/memnet/network_test.go
+++ b/internal/fake/memnet/network_test.go
@@ -189,3 +189,19 @@
 		c.Assert(err, qt.ErrorIs, net.ErrClosed)
 	}
 }
+
+// TestErrorsOfClosedConnectionsNameTheOperation checks that a closed connection fails as one of TCP does: net/http answers other errors of a read.
+func TestErrorsOfClosedConnectionsNameTheOperation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		_, server := connect(c, memnet.New())
+		c.Assert(server.Close(), qt.IsNil)
+		for operation, use := range map[string]func([]byte) (int, error){"read": server.Read, "write": server.Write} {
+			_, err := use(make([]byte, 1))
+			c.Check(err, qt.ErrorIs, net.ErrClosed)
+			var opError *net.OpError
+			c.Assert(errors.As(err, &opError), qt.IsTrue)
+			c.Check(opError.Op, qt.Equals, operation)
+		}
+	})
+}
