--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -197,6 +197,10 @@
 			last[key] = team.Name
 		}
 	}
+	needsKey := func(r route.Route) bool { return c.table.NeedsKey(&r) }
+	if len(c.cfg.Teams) == 0 && slices.ContainsFunc(c.cfg.Routes, needsKey) {
+		c.add("Teams", "a team with a key, or no list", "no request that needs a key is accepted: the list is empty")
+	}
 	for i := range c.cfg.Teams {
 		team := &c.cfg.Teams[i]
 		path := fmt.Sprintf("Teams[%s]", team.Name)
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -12,7 +12,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/route"
 )
 
-// Change is what becomes of one route, service, team or of the limits.
+// Change is what becomes of one route, service, team, of the list of teams or of the limits.
 type Change struct {
 	// Path names the entry as in a Finding.
 	Path   string
@@ -106,12 +106,22 @@
 		e.set("Regions", regionsOf(t.Regions))
 		all = append(all, e)
 	}
+	teams := entry{path: "Teams"}
+	teams.set("List", presenceOf(cfg.Teams))
 	limits := entry{path: "Limits"}
 	limits.set("MaxHeaderBytes", strconv.Itoa(cfg.Limits.MaxHeaderBytes))
 	limits.set("MaxBodyBytes", strconv.FormatInt(cfg.Limits.MaxBodyBytes, 10))
 	limits.set("HeaderTimeout", textOf(cfg.Limits.HeaderTimeout))
 	limits.set("IdleTimeout", textOf(cfg.Limits.IdleTimeout))
-	return append(all, limits)
+	return append(all, teams, limits)
+}
+
+// presenceOf describes a list of teams, whose absence opens every route.
+func presenceOf(teams []route.TeamInfo) string {
+	if teams == nil {
+		return "absent, requests need no key"
+	}
+	return "present"
 }
 
 func textOf(d time.Duration) string {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -443,6 +443,38 @@
 	}
 }
 
+// TestRevokedKeysStayRevokedWithoutTeams guards against requests with revoked keys that run once the last team is gone. Only a configuration without a list
+// of teams accepts requests without a key.
+func TestRevokedKeysStayRevokedWithoutTeams(t *testing.T) {
+	withTestFleet(t, func(f *testFleet) {
+		statuses := func(path, key string) (all []int) {
+			for node := range f.nodes {
+				all = append(all, f.send(context.Background(), node, path, key).status)
+			}
+			return all
+		}
+		version := 1
+		put := func(tenants string) {
+			version++
+			text, _, _ := strings.Cut(string(configurationVersion(version)), `,
+		"tenants"`)
+			f.store.Put(platform.KeyConfig, []byte(text+tenants+"}"))
+			time.Sleep(applyTime)
+		}
+		rejected, accepted := []int{http.StatusUnauthorized, http.StatusUnauthorized}, []int{http.StatusOK, http.StatusOK}
+		for _, tenants := range []string{`,"tenants":[{"name":"school","apiKeys":[]}]`, `,"tenants":[]`} {
+			put(tenants)
+			for _, key := range []string{"key-1", "key-2", "never held", ""} {
+				f.c.Check(statuses("/c/1", key), qt.DeepEquals, rejected, qt.Commentf("%s %q", tenants, key))
+			}
+			f.c.Check(statuses("/o/1", ""), qt.DeepEquals, accepted)
+		}
+		f.c.Check(f.calls.Runs(), qt.HasLen, 4)
+		put("")
+		f.c.Check(statuses("/c/1", ""), qt.DeepEquals, accepted)
+	})
+}
+
 // TestConfigurationChangeSurvivesCompaction changes the configuration right before the store drops its history: nodes must still apply it.
 func TestConfigurationChangeSurvivesCompaction(t *testing.T) {
 	withTestFleet(t, func(f *testFleet) {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -113,10 +113,14 @@
 	}
 	c.table.Store(route.NewTable(cfg))
 	c.closeConfirmed()
-	c.opts.Log.WithFields(log.Fields{
+	fields := c.opts.Log.WithFields(log.Fields{
 		"revision": int64(cfg.Revision), "version": cfg.Version, "routes": len(cfg.Routes), "teams": len(cfg.Teams),
-		"bytes": len(pair.Value),
-	}).Info("configuration in force")
+		"has_teams": cfg.Teams != nil, "bytes": len(pair.Value),
+	})
+	fields.Info("configuration in force")
+	if old != nil && old.Config.Teams != nil && cfg.Teams == nil {
+		fields.Warn("configuration has no list of teams any more, requests need no key")
+	}
 	return true
 }
 
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -66,7 +66,7 @@
 	Kind   Kind
 	// IsResumable means that a stream may be resumed at another server after the last event received.
 	IsResumable bool
-	// IsPublic means that requests need no key.
+	// IsPublic means that requests need no key, whatever the configuration's teams are.
 	IsPublic bool
 	// Targets has at least one entry.
 	Targets []Target
@@ -151,6 +151,6 @@
 	Routes   []Route
 	Services []ServiceInfo
 	Limits   Limits
-	// Teams is empty if requests need no key.
+	// Teams is nil if requests need no key. With an empty list they need one, which no team has.
 	Teams []TeamInfo
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -79,4 +79,4 @@
 func (t *Table) FindService(name Service) *ServiceInfo { return t.services[name] }
 
 // NeedsKey reports whether requests of a route must carry a key.
-func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Teams) > 0 && !r.IsPublic }
+func (t *Table) NeedsKey(r *Route) bool { return t.Config.Teams != nil && !r.IsPublic }
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -43,4 +43,5 @@
 	qt.Check(t, table.NeedsKey(&route.Route{}), qt.IsTrue)
 	qt.Check(t, table.NeedsKey(&route.Route{IsPublic: true}), qt.IsFalse)
 	qt.Check(t, route.NewTable(route.Config{}).NeedsKey(&route.Route{}), qt.IsFalse)
+	qt.Check(t, route.NewTable(route.Config{Teams: []route.TeamInfo{}}).NeedsKey(&route.Route{}), qt.IsTrue)
 }
