region: allow no region where the list of regions is empty

A route or team with an empty list of allowed regions was served in every region, like one without a list: operators that take away the last region of a route would have had its requests run anywhere.

The set of an empty list now holds no region, and requests are rejected as for any set without servers. Addresses of a host ignore routes without any allowed region.

--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -149,6 +149,9 @@
 	if !set.IsRestricted() {
 		return "all"
 	}
+	if set.IsEmpty() {
+		return "none"
+	}
 	return joinRegions(set)
 }
 
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 
 	"github.com/monsoonrail/monsoonrail/pkg/api"
 )
@@ -21,28 +20,25 @@
 	key string
 }
 
-// NewSet returns the set of the given regions, or of every region if there are none.
+// NewSet returns the set of the given regions, which is empty if there are none. The set of every region is the zero value.
 func NewSet(regions ...api.Region) Set {
-	if len(regions) == 0 {
-		return Set{}
-	}
-	return newRestricted(slices.Clone(regions))
-}
-
-// newRestricted returns a restricted set, which may be empty.
-func newRestricted(regions []api.Region) Set {
+	regions = slices.Clone(regions)
 	slices.Sort(regions)
 	regions = slices.Compact(regions)
-	var key strings.Builder
+	// Each key of a restricted set begins with a separator, also that of the empty set.
+	key := "\x00"
 	for _, r := range regions {
-		key.WriteString(string(r) + "\x00")
+		key += string(r) + "\x00"
 	}
-	return Set{regions: regions, isRestricted: true, key: key.String()}
+	return Set{regions: regions, isRestricted: true, key: key}
 }
 
 // IsRestricted reports whether the set lacks a region.
 func (s Set) IsRestricted() bool { return s.isRestricted }
 
+// IsEmpty reports whether no region is in the set.
+func (s Set) IsEmpty() bool { return s.isRestricted && len(s.regions) == 0 }
+
 // Has reports whether a region is in the set. An unknown region, which is empty, is only in sets of every region.
 func (s Set) Has(r api.Region) bool {
 	if !s.isRestricted {
@@ -60,10 +56,10 @@
 	case !s.isRestricted:
 		return other
 	}
-	return newRestricted(slices.DeleteFunc(slices.Clone(s.regions), func(r api.Region) bool { return !other.Has(r) }))
+	return NewSet(slices.DeleteFunc(slices.Clone(s.regions), func(r api.Region) bool { return !other.Has(r) })...)
 }
 
-// Key returns a text that is the same for equal sets only, except that the set of every region and the empty one share theirs.
+// Key returns a text that is the same for equal sets only.
 func (s Set) Key() string { return s.key }
 
 // List returns the regions of a restricted set.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -16,7 +16,7 @@
 	routes   map[string][]*Route
 	services map[Service]*ServiceInfo
 	teams    map[Key]*TeamInfo
-	// regions holds, of the hosts that have restricted routes, the regions that all of these routes share.
+	// regions holds, of the hosts that have restricted routes, the regions that all of these routes share; routes without any allowed region don't count.
 	regions map[string]region.Set
 }
 
@@ -33,7 +33,8 @@
 		r := &cfg.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
-		if r.Regions.IsRestricted() {
+		// Nothing is served on a route without an allowed region, so that it doesn't matter where its callers connect.
+		if r.Regions.IsRestricted() && !r.Regions.IsEmpty() {
 			t.regions[host] = t.regions[host].Intersect(r.Regions)
 		}
 	}
@@ -61,7 +62,7 @@
 	return nil
 }
 
-// HostRegions returns the regions that all restricted routes of a host share; every region if none is restricted. host may include a port.
+// HostRegions returns the regions that all restricted routes of a host share, but for routes without any allowed region; every region if none is restricted. host may include a port.
 func (t *Table) HostRegions(host string) region.Set { return t.regions[hostName(host)] }
 
 // hostName returns a Host header's value in lower case and without a port.
