route: ignore empty keys of teams

A request without a key was looked up by the empty one, so that it ran as a team whose list has an empty entry. Nothing but the check of configurations rejected such an entry.

The new line of TestTable failed before.

--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -46,7 +46,10 @@
 	}
 	for i := range cfg.Teams {
 		for _, key := range cfg.Teams[i].Keys {
-			t.teams[key] = &cfg.Teams[i]
+			// A request without a key has the empty one.
+			if key != "" {
+				t.teams[key] = &cfg.Teams[i]
+			}
 		}
 	}
 	return t
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -16,7 +16,7 @@
 			{Name: "short", Host: "app.example", Prefix: "/a/"},
 			{Name: "other", Host: "other.example", Prefix: "/x/"},
 		},
-		Teams: []route.TeamInfo{{Name: "school", Keys: []route.Key{"k1", "k2"}}},
+		Teams: []route.TeamInfo{{Name: "school", Keys: []route.Key{"k1", "", "k2"}}},
 	})
 	for _, test := range []struct {
 		host, path string
@@ -40,6 +40,7 @@
 	}
 	qt.Check(t, table.FindTeam("k2").Name, qt.Equals, route.Team("school"))
 	qt.Check(t, table.FindTeam("k3"), qt.IsNil)
+	qt.Check(t, table.FindTeam(""), qt.IsNil, qt.Commentf("a request without a key"))
 	qt.Check(t, table.NeedsKey(&route.Route{}), qt.IsTrue)
 	qt.Check(t, table.NeedsKey(&route.Route{IsPublic: true}), qt.IsFalse)
 	qt.Check(t, route.NewTable(route.Config{}).NeedsKey(&route.Route{}), qt.IsFalse)
