gateway: send no requests to services without a weight

A route whose services all had the weight 0 sent its requests to the first of them, although the check of configurations says that none is served. Services without a weight counted as ones with 0.

--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -43,14 +43,19 @@
 	}
 }
 
-// chooseService returns the service of a request: the route's only one, or one drawn by weight, the same for all requests of a session.
+// chooseService returns the service of a request: the route's only one, or one drawn by weight, the same for all requests of a session. It is empty if no
+// service has a weight above 0.
 func chooseService(r *route.Route, info RequestInfo) route.Service {
 	total := 0.0
+	last := route.Service("")
 	for _, t := range r.Targets {
 		total += t.Weight
+		if t.Weight > 0 {
+			last = t.Service
+		}
 	}
 	if len(r.Targets) == 1 || total <= 0 {
-		return r.Targets[0].Service
+		return last
 	}
 	seed := info.Session
 	if seed == "" {
@@ -63,5 +68,5 @@
 		}
 		point -= t.Weight
 	}
-	return r.Targets[len(r.Targets)-1].Service
+	return last
 }
--- a/internal/gateway/headers_test.go
+++ b/internal/gateway/headers_test.go
@@ -20,7 +20,8 @@
 	qt.Assert(t, got, qt.DeepEquals, http.Header{"X-Kept": {"a", "b"}})
 }
 
-// TestChooseService checks that sessions are split by weight and that all requests of a session go to the same service.
+// TestChooseService checks that sessions are split by weight, that all requests of a session go to the same service, and that none goes to services without
+// weight.
 func TestChooseService(t *testing.T) {
 	r := &route.Route{Name: "r", Targets: []route.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
 	counts := make(map[route.Service]int)
@@ -30,6 +31,9 @@
 		qt.Assert(t, chooseService(r, info), qt.Equals, service)
 		counts[service]++
 	}
+	for _, targets := range [][]route.Target{{{Service: "a"}}, {{Service: "a"}, {Service: "b"}}} {
+		qt.Check(t, chooseService(&route.Route{Name: "closed", Targets: targets}, RequestInfo{ID: "1"}), qt.Equals, route.Service(""))
+	}
 	qt.Assert(t, counts["a"] > 1700 && counts["b"] > 130 && counts["c"] == 0, qt.IsTrue, qt.Commentf("%v", counts))
 }
 
