versionrollout: complete roll-outs only with proof of the target

Time was taken for evidence.

A roll-out is completed now if a server of the target is in service, the node that decides has recent reports of at least half of the nodes, and the target has answered enough requests since the order. Otherwise it is reverted at its deadline. Nodes repeat their reports, so that a node that begins to collect has all of them.

Four tests of restored stores expected versions to be completed that had no servers or no requests.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -207,6 +207,9 @@
 	}
 	n.rollouts = versionrollout.NewTracker(versionrollout.TrackerOptions{
 		Node: opts.Settings.Node, Exposure: bounds.ExposureShare, ExposureSlack: bounds.ExposureSlack, SessionTimeout: bounds.SessionTimeout, NodeCount: n.countNodes, Log: opts.Log,
+		HasServer: func(service route.Service, version route.ServiceVersion) bool {
+			return n.backends.PoolOf(service, version, false).HasPresent()
+		},
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Node: opts.Settings.Node, HeaderCodec: platform.HeaderCodec{}, Pool: n.pool, Backends: n.backends, Configs: n.activeConfig, Versions: n.rollouts,
--- a/internal/edge/restore_plans_test.go
+++ b/internal/edge/restore_plans_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +45,29 @@
 	// isRestoring is set from an outage of the store until operators have written again what it lost.
 	isRestoring atomic.Bool
 	restartedAt time.Time
+	// streams counts the streams that give evidence of the version to which the current order moves the service.
+	streams int
+}
+
+// streamSteps is the number of steps between two streams.
+const streamSteps = 4
+
+// sendStream sends a stream through the next node.
+func (p *restorePlan) sendStream() {
+	p.streams++
+	req := p.request(context.Background(), p.streams%len(p.nodes), fmt.Sprint("stream-", p.streams), "/s/1", "")
+	req.Header.Set("Key", fmt.Sprintf("key-%d", p.version))
+	go func() {
+		if resp, err := p.client.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	}()
+}
+
+// startTarget has the second model server run the version of the current order.
+func (p *restorePlan) startTarget() {
+	p.store.Put("servers/m1", []byte(strings.Replace(string(entry("models", "10.1.0.2:80", "ready")), `"v1"`, fmt.Sprintf(`"v%d"`, p.number), 1)))
 }
 
 func (p *restorePlan) note(format string, args ...any) {
@@ -66,6 +91,7 @@
 	p.note("order %d, %d s", p.number, length)
 	p.order = fmt.Appendf(nil, `{"service":"models","target":"v%d","durationS":%d}`, p.number, length)
 	p.orderEnds = time.Now().Add(time.Duration(length) * time.Second)
+	p.startTarget()
 	p.store.Put("op/rollout/models", p.order)
 }
 
@@ -83,6 +109,7 @@
 	})
 	time.AfterFunc(down+rewritten, func() {
 		p.store.Put("op/config", config)
+		p.startTarget()
 		p.store.Put("op/rollout/models", order)
 		p.isRestoring.Store(false)
 	})
@@ -108,7 +135,14 @@
 		p.note("%s restarts", ip)
 		p.restartedAt = time.Now()
 		p.nodes[node].stop()
-		<-p.nodes[node].done
+		for isEnded := false; !isEnded; {
+			select {
+			case <-p.nodes[node].done:
+				isEnded = true
+			case <-time.After(streamSteps * planStep):
+				p.sendStream()
+			}
+		}
 		p.start(ip)
 		p.nodes[node], p.nodes = p.nodes[len(p.nodes)-1], p.nodes[:len(p.nodes)-1]
 	case !p.isRestoring.Load():
@@ -155,9 +189,16 @@
 						p.step()
 					}
 					p.checkRevoked()
+					if at%(streamSteps*planStep) == 0 {
+						p.sendStream()
+					}
 					time.Sleep(planStep)
 				}
-				time.Sleep(recoveryTime + max(0, time.Until(p.orderEnds)))
+				for end := time.Now().Add(recoveryTime + max(0, time.Until(p.orderEnds))); time.Now().Before(end); {
+					p.sendStream()
+					time.Sleep(streamSteps * planStep)
+				}
+				time.Sleep(recoveryTime)
 				status := string(f.store.Get("status/rollout/models").Value)
 				f.c.Check(status, qt.Equals, fmt.Sprintf(`{"state":"completed","target":"v%d","service":"models"}`, p.number), qt.Commentf("%q", p.log))
 				for node := range f.nodes {
--- a/internal/edge/restored_rollout_test.go
+++ b/internal/edge/restored_rollout_test.go
@@ -1,12 +1,41 @@
 package edge_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
+// streamInterval is the time between streams that give evidence of a version.
+const streamInterval = 100 * time.Millisecond
+
+// streamFor sends streams through all nodes in turn for a time, including the last stream's answer.
+func (f *testFleet) streamFor(length time.Duration) {
+	const answerTime = 2 * time.Second
+	begin := time.Now()
+	f.sendMany(int((length-answerTime)/streamInterval), streamInterval)
+	time.Sleep(time.Until(begin.Add(length)))
+}
+
+// addNewModelServer adds a model server of v2.
+func (f *testFleet) addNewModelServer() {
+	f.addModelServer()
+	f.store.Put("servers/m2", []byte(strings.Replace(string(entry("models", "10.1.0.3:80", "ready")), `"v1"`, `"v2"`, 1)))
+}
+
+// replaceNodes ends all nodes and starts others in their place.
+func (f *testFleet) replaceNodes() {
+	for _, node := range f.nodes {
+		node.stop()
+		<-node.done
+	}
+	f.nodes = nil
+	f.start("10.0.0.3")
+	f.start("10.0.0.4")
+}
+
 // TestRolloutGoesOnAfterARestoreAndARestart restores the store from a copy that is older than the current roll-out, or than its last stage, and
 // has operators write the order again; then all nodes are replaced. The roll-out must complete as if nothing had happened.
 func TestRolloutGoesOnAfterARestoreAndARestart(t *testing.T) {
@@ -26,13 +55,14 @@
 			withTestFleet(t, func(f *testFleet) {
 				status := func() string { return string(f.store.Get("status/rollout/models").Value) }
 				f.store.Put("op/rollout/models", []byte(`{"service":"models","target":"v1","durationS":4}`))
-				time.Sleep(length / 4)
+				f.streamFor(length / 4)
 				f.c.Assert(status(), qt.Contains, "completed")
+				f.addNewModelServer()
 				restore := f.store.Snapshot()
 				order := []byte(`{"service":"models","target":"v2","durationS":40}`)
 				f.store.Put("op/rollout/models", order)
 				ordered := time.Now()
-				time.Sleep(half)
+				f.streamFor(half)
 				if test.copyAfter > 0 {
 					restore = f.store.Snapshot()
 				}
@@ -44,16 +74,11 @@
 				time.Sleep(time.Second)
 				f.store.Put("op/rollout/models", order)
 				time.Sleep(startTime)
-				for _, node := range f.nodes {
-					node.stop()
-					<-node.done
-				}
-				f.start("10.0.0.3")
-				f.start("10.0.0.4")
-				time.Sleep(time.Until(ordered.Add(half + length/4)))
+				f.replaceNodes()
+				f.streamFor(time.Until(ordered.Add(half + length/4)))
 				f.c.Check(status(), qt.Contains, `"in_progress"`)
 				f.c.Check(status(), qt.Contains, `"v2"`)
-				time.Sleep(time.Until(ordered.Add(length)))
+				f.streamFor(time.Until(ordered.Add(length)))
 				f.c.Check(status(), qt.Contains, `"completed"`)
 				f.c.Check(status(), qt.Contains, `"v2"`)
 			})
@@ -67,18 +92,14 @@
 	const length = 20 * time.Second
 	withTestFleet(t, func(f *testFleet) {
 		f.store.Put("op/rollout/models", []byte(`{"service":"models","target":"v1","durationS":4}`))
-		time.Sleep(length / 2)
+		f.streamFor(length / 2)
+		f.addNewModelServer()
 		restore := f.store.Snapshot()
 		order := []byte(`{"service":"models","target":"v2","durationS":20}`)
 		f.store.Put("op/rollout/models", order)
 		ordered := time.Now()
 		time.Sleep(time.Second)
-		for _, node := range f.nodes {
-			node.stop()
-			<-node.done
-		}
-		f.start("10.0.0.3")
-		f.start("10.0.0.4")
+		f.replaceNodes()
 		time.Sleep(startTime)
 		f.store.SetDown(true)
 		time.Sleep(time.Second)
@@ -86,7 +107,7 @@
 		f.store.SetDown(false)
 		time.Sleep(600 * time.Millisecond)
 		f.store.Put("op/rollout/models", order)
-		time.Sleep(time.Until(ordered.Add(length)))
+		f.streamFor(time.Until(ordered.Add(length)))
 		f.c.Check(string(f.store.Get("status/rollout/models").Value), qt.Equals, `{"state":"completed","target":"v2","service":"models"}`)
 	})
 }
@@ -98,7 +119,7 @@
 		t.Run(downtime.String(), func(t *testing.T) {
 			withTestFleet(t, func(f *testFleet) {
 				f.store.Put("op/rollout/models", []byte(`{"service":"models","target":"v1","durationS":4}`))
-				time.Sleep(10 * time.Second)
+				f.streamFor(10 * time.Second)
 				restore := f.store.Snapshot()
 				f.store.Put("op/rollout/models", []byte(`{"service":"models","target":"v2","durationS":20}`))
 				time.Sleep(100 * time.Millisecond)
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -34,6 +34,8 @@
 	Exposure, ExposureSlack float64
 	// SessionTimeout is how long after its last request a session ends.
 	SessionTimeout time.Duration
+	// HasServer reports whether a server of a version is in service; nil means that one always is.
+	HasServer func(service route.Service, version route.ServiceVersion) bool
 	// NodeCount returns the number of nodes that report to the same collector; nil means 1.
 	NodeCount func() int
 	Log       log.Interface
@@ -69,7 +71,7 @@
 	trafficHistory trafficHistory
 	// peakLoad is the largest part of its slots that a server being filled has reported to run.
 	peakLoad float64
-	reports  map[api.NodeID]NodeReport
+	reports  map[api.NodeID]*peerReport
 	paces    paces
 	// pinned holds hashes of the sessions that ran on other versions before the target got requests.
 	pinned map[uint64]bool
@@ -85,6 +87,8 @@
 	// pendingState is the state that has been waiting to be written since pendingSince.
 	pendingState State
 	pendingSince time.Time
+	// loggedGap is the reason that was logged last for which the roll-out isn't completed.
+	loggedGap string
 	// sessionsListed is set once this node's sessions have been added to pinned.
 	sessionsListed bool
 }
@@ -141,7 +145,7 @@
 		}
 	}
 	r := &rollout{
-		order: order, begin: now, own: NewEvidence(), reports: make(map[api.NodeID]NodeReport),
+		order: order, begin: now, own: NewEvidence(), reports: make(map[api.NodeID]*peerReport),
 		paces: paces{routes: make(map[route.Name]*paceRing)}, pinned: make(map[uint64]bool),
 	}
 	r.setStart(start, now)
@@ -226,7 +230,7 @@
 	r.pinSessions(report.Sessions)
 	if node != t.opts.Node {
 		report.Sessions = nil
-		r.reports[node] = report
+		r.reports[node] = &peerReport{NodeReport: report}
 		t.stopIfUnhealthy(r)
 	}
 	return r.pinnedSessions()
@@ -256,7 +260,7 @@
 // has the reports of most nodes can decide so. The caller holds t.mu.
 func (t *Tracker) stopIfExposed(r *rollout, now time.Time) {
 	nodes := t.opts.NodeCount()
-	if r.isStopped || r.isCleared || r.isFinal() || 2*len(r.reports) < nodes-1 {
+	if r.isStopped || r.isCleared || r.isFinal() || !r.hasReports(nodes, now) {
 		return
 	}
 	elapsed := now.Sub(r.begin)
@@ -452,13 +456,15 @@
 			continue
 		}
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
+		r.stampReports(now)
 		t.pinRecentSessions(service, r, now)
 		t.stopIfExposed(r, now)
+		r.needsReport = r.needsReport || now.Sub(r.reportedAt) >= refreshInterval
 		if r.needsReport && now.Sub(r.reportedAt) >= reportInterval(t.opts.NodeCount()) {
 			r.needsReport, r.reportedAt = false, now
 			w.Report = r.buildReport()
 		}
-		if w.State = r.nextState(now); w.State != r.pendingState {
+		if w.State = t.nextState(r, now); w.State != r.pendingState {
 			r.pendingState, r.pendingSince = w.State, now
 		}
 		w.PendingFor = now.Sub(r.pendingSince)
@@ -469,8 +475,8 @@
 	return due
 }
 
-// nextState returns the state that has to be written, StateNone if there is nothing to write.
-func (r *rollout) nextState(now time.Time) State {
+// nextState returns the state that has to be written, StateNone if there is nothing to write. The caller holds t.mu.
+func (t *Tracker) nextState(r *rollout, now time.Time) State {
 	switch {
 	case r.isLost:
 		return StateNone
@@ -479,12 +485,19 @@
 	case r.isStopped:
 		return StateReverted
 	case MayComplete(now.Sub(r.begin), r.order.Duration, r.totalOldInFlight()):
-		return StateCompleted
-	case r.status.State == StateNone:
+		gap := t.proofGap(r, now)
+		t.logGap(r, gap)
+		switch {
+		case gap == "":
+			return StateCompleted
+		case t.mayEndUnproven(r, now):
+			return StateReverted
+		}
+	}
+	if r.status.State == StateNone {
 		return StateInProgress
-	default:
-		return StateNone
 	}
+	return StateNone
 }
 
 // buildReport returns this node's report, with copies of its evidence and of the pinned sessions.
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -99,6 +99,17 @@
 	add(e.Others, other.Others)
 }
 
+// answers returns the numbers of the target's answers and of those of all other versions.
+func (e Evidence) answers() (target, others int) {
+	for _, c := range e.Target {
+		target += c.Answers
+	}
+	for _, c := range e.Others {
+		others += c.Answers
+	}
+	return target, others
+}
+
 // IsTargetUnhealthy reports whether the target is significantly worse than the other versions, on one route or over all routes.
 func (e Evidence) IsTargetUnhealthy() bool {
 	var target, others Counts
--- a/internal/versionrollout/plan.go
+++ b/internal/versionrollout/plan.go
@@ -81,8 +81,8 @@
 }
 
 const (
-	// completeFrom is the part of the duration from which on a roll-out completes as soon as no request is in flight on the old servers,
-	// completeBy the part at which it completes in any case.
+	// completeFrom is the part of the duration from which on a roll-out may complete as soon as no request is in flight on the old servers,
+	// completeBy the part from which on it may complete in spite of such requests.
 	completeFrom = 0.75
 	completeBy   = 0.92
 	// pinSessionsUntil is the part of the duration during which sessions stay on their version.
@@ -94,7 +94,7 @@
 	return float64(elapsed) / float64(max(duration, 1))
 }
 
-// MayComplete reports whether a roll-out whose target is not found unhealthy is to be completed. oldInFlight is the number of in-flight
+// MayComplete reports whether it is time to complete a roll-out whose target has been shown to be healthy. oldInFlight is the number of in-flight
 // requests of all nodes on servers of other versions.
 func MayComplete(elapsed, duration time.Duration, oldInFlight int) bool {
 	part := elapsedPart(elapsed, duration)
