versionrollout: raise a target's share only while a collector watches

Nodes now send the target no more than its first share unless a collector has said within 2 s that it has the reports of most nodes, and answers of the target once that is to get all requests. Collectors of earlier releases don't say so and count as watching.

TestUnwatchedTargetKeepsItsFirstShare failed in two of its four cases before.

--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -113,7 +113,7 @@
 // reportAttempts is the number of collectors that a node tries for one report.
 const reportAttempts = 2
 
-// report sends this node's report, if there is one, to the first collector that can be reached and pins the sessions that it returns.
+// report sends this node's report, if there is one, to the first collector that can be reached, and takes in the response.
 func (n *Node) report(ctx context.Context, work versionrollout.Work, collectors []nodelist.Node) (err error) {
 	if work.Report == nil {
 		return nil
@@ -127,7 +127,7 @@
 			Service: work.Order.Service, Node: n.opts.Settings.Node, Report: *work.Report,
 		})
 		if err == nil {
-			n.rollouts.PinSessions(work.Order, collected.Sessions)
+			n.rollouts.SetCollected(work.Order, versionrollout.Collected(collected), time.Now())
 			return nil
 		}
 	}
--- a/internal/rolloutrpc/rolloutrpc.go
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -61,15 +61,16 @@
 	Report  versionrollout.NodeReport
 }
 
-// ReportResponse is the collector's response to a Report.
+// ReportResponse is the collector's response to a Report, see versionrollout.Collected.
 type ReportResponse struct {
-	// Sessions are hashes of the sessions of all nodes that stay on their version, see versionrollout.SessionsStayPinned.
 	Sessions []uint64
+	// IsUnwatched is missing in the responses of earlier releases, whose nodes don't tell.
+	IsUnwatched bool `json:",omitempty"`
 }
 
 // Collector merges the reports of nodes; *versionrollout.Tracker implements it.
 type Collector interface {
-	SetReport(service route.Service, node api.NodeID, report versionrollout.NodeReport) (sessions []uint64)
+	SetReport(service route.Service, node api.NodeID, report versionrollout.NodeReport) versionrollout.Collected
 }
 
 // Handle registers the handler of the call, which passes reports to collector. A report for which there is no memory left gets status 503.
@@ -96,10 +97,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		sessions := collector.SetReport(report.Service, report.Node, report.Report)
+		collected := collector.SetReport(report.Service, report.Node, report.Report)
 		w.Header().Set("Content-Type", "application/json")
 		// If the connection is closed before the response, the node sends its report again.
-		_ = json.NewEncoder(w).Encode(ReportResponse{Sessions: sessions})
+		_ = json.NewEncoder(w).Encode(ReportResponse(collected))
 	})
 }
 
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -87,6 +87,9 @@
 	// pendingState is the state that has been waiting to be written since pendingSince.
 	pendingState State
 	pendingSince time.Time
+	// isWatching is set while this node could tell that the target is unhealthy; watchedUntil is the time until which a node is known to.
+	isWatching   bool
+	watchedUntil time.Time
 	// loggedGap is the reason that was logged last for which the roll-out isn't completed.
 	loggedGap string
 	// sessionsListed is set once this node's sessions have been added to pinned.
@@ -111,6 +114,14 @@
 	Sessions []uint64
 }
 
+// Collected is a collector's response to a NodeReport.
+type Collected struct {
+	// Sessions are hashes of the sessions of all nodes that stay on their version, see SessionsStayPinned.
+	Sessions []uint64
+	// IsUnwatched is set if the collector couldn't tell that the target is unhealthy, see Tracker.watches.
+	IsUnwatched bool
+}
+
 // NewTracker returns a tracker without roll-outs.
 func NewTracker(opts TrackerOptions) *Tracker {
 	opts.Log = eventlog.OrDiscard(opts.Log)
@@ -218,14 +229,13 @@
 	}
 }
 
-// SetReport takes in a node's report and returns hashes of all sessions that stay on other versions. It returns nil if the report is
-// for another order.
-func (t *Tracker) SetReport(service route.Service, node api.NodeID, report NodeReport) (sessions []uint64) {
+// SetReport takes in a node's report and returns the response to it. A report for another order has no effect.
+func (t *Tracker) SetReport(service route.Service, node api.NodeID, report NodeReport) Collected {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.rollouts[service]
 	if !ok || report.Order != r.order.Revision {
-		return nil
+		return Collected{IsUnwatched: true}
 	}
 	r.pinSessions(report.Sessions)
 	if node != t.opts.Node {
@@ -233,7 +243,7 @@
 		r.reports[node] = &peerReport{NodeReport: report}
 		t.stopIfUnhealthy(r)
 	}
-	return r.pinnedSessions()
+	return Collected{Sessions: r.pinnedSessions(), IsUnwatched: !r.isWatching}
 }
 
 // stopIfUnhealthy stops the roll-out if the evidence of all nodes shows that the target is unhealthy. The caller holds t.mu.
@@ -327,11 +337,17 @@
 	elapsed := now.Sub(r.begin)
 	fill := newFillSpan(r.order.Duration)
 	share := fill.share(elapsed, t.opts.Exposure, t.opts.NodeCount(), isFilling)
+	isWatched := now.Before(r.watchedUntil)
+	if !isWatched {
+		share = min(share, firstShare(t.opts.Exposure))
+	}
 	if session == "" {
 		hash = sessionHash(service, id)
 	}
 	choice.UseTarget = rendezvous.Fraction(hash) < share
-	choice.FillShare = fill.filledSlots(elapsed, r.order.Duration)
+	if isWatched {
+		choice.FillShare = fill.filledSlots(elapsed, r.order.Duration)
+	}
 	if session == "" || !SessionsStayPinned(elapsed, r.order.Duration) {
 		return choice
 	}
@@ -457,6 +473,8 @@
 		}
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
 		r.stampReports(now)
+		r.isWatching = t.watches(r, now)
+		r.setWatched(!r.isWatching, now)
 		t.pinRecentSessions(service, r, now)
 		t.stopIfExposed(r, now)
 		r.needsReport = r.needsReport || now.Sub(r.reportedAt) >= refreshInterval
--- a/internal/versionrollout/proof.go
+++ b/internal/versionrollout/proof.go
@@ -15,6 +15,12 @@
 	// reports in which nothing has changed, so that a node that begins to collect gets all of them.
 	maxReportAge    = 3 * time.Second
 	refreshInterval = time.Second
+	// watchedAnswers is the number of a target's answers since the order without which it gets all requests of no node; of services with little traffic the part
+	// watchedPart of all answers suffices.
+	watchedAnswers = 4
+	watchedPart    = 0.03
+	// watchPeriod is how long a node counts on a collector after its last response.
+	watchPeriod = 2 * time.Second
 	// collectorGrace is how long after a roll-out's deadline a node without the reports of most nodes reverts it: another one may have them.
 	collectorGrace = 3 * time.Second
 )
@@ -88,3 +94,23 @@
 		"reports": len(r.reports), "nodes": t.opts.NodeCount(),
 	}).Info("roll-out is not completed yet")
 }
+
+// watches reports whether the node could tell that the target is unhealthy: it has the reports of most nodes, and answers of the target once that gets all
+// requests. Nodes send the target no more than its first share of the requests unless some node does.
+func (t *Tracker) watches(r *rollout, now time.Time) bool {
+	if !r.hasReports(t.opts.NodeCount(), now) {
+		return false
+	}
+	if elapsed := now.Sub(r.begin); elapsed < newFillSpan(r.order.Duration).until {
+		return true
+	}
+	target, others := r.totalEvidence().answers()
+	return target > 0 && float64(target) >= min(watchedAnswers, watchedPart*float64(target+others))
+}
+
+// setWatched records whether a collector watches the roll-out.
+func (r *rollout) setWatched(isUnwatched bool, now time.Time) {
+	if !isUnwatched {
+		r.watchedUntil = now.Add(watchPeriod)
+	}
+}
--- a/internal/versionrollout/proof_test.go
+++ b/internal/versionrollout/proof_test.go
@@ -124,3 +124,60 @@
 		})
 	}
 }
+
+// TestUnwatchedTargetKeepsItsFirstShare guards against versions that get all requests by time, while no node could tell that they are bad: after a loss of all
+// nodes, or of the node that collects the reports.
+func TestUnwatchedTargetKeepsItsFirstShare(t *testing.T) {
+	const (
+		picks     = 2000
+		maxUnseen = 0.1
+		// late is a time at which a watched target gets all requests, reply how long nodes may go on after the collector's last response.
+		late, reply = duration * 7 / 10, 3 * time.Second
+	)
+	for _, test := range []struct {
+		name string
+		// answers is the number of the target's answers that the second node has observed; lostFor is how long ago the collector has responded last.
+		answers   int
+		isStarted bool
+		lostFor   time.Duration
+		want      bool
+	}{
+		{"watched", 10, false, 0, true},
+		{"collector gone", 10, false, reply, false},
+		{"nodes replaced, without an answer", 0, true, 0, false},
+		{"nodes replaced, with answers since", 10, true, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(2)
+			begin := f.now
+			f.now = begin.Add(late)
+			start := versionrollout.NewStartRecord(order, begin)
+			for i, tracker := range f.trackers {
+				at := begin
+				if test.isStarted {
+					at = f.now
+				}
+				tracker.SetOrder(order, start, at)
+				for range test.answers * i {
+					tracker.Observe(versionrollout.Outcome{Service: service, Version: order.Target, Route: "r", Pace: 0.1})
+				}
+				for range 100 {
+					tracker.Observe(versionrollout.Outcome{Service: service, Version: "v1", Route: "r", Pace: 0.1})
+				}
+			}
+			for range 3 {
+				f.now = f.now.Add(250 * time.Millisecond)
+				f.exchange()
+			}
+			f.now = f.now.Add(test.lostFor)
+			toTarget := 0
+			for i := range picks {
+				if f.trackers[1].Pick(service, "", fmt.Sprint(i), true, f.now).UseTarget {
+					toTarget++
+				}
+			}
+			share := float64(toTarget) / picks
+			qt.Check(t, share > maxUnseen, qt.Equals, test.want, qt.Commentf("share %g", share))
+		})
+	}
+}
--- a/internal/versionrollout/sessions.go
+++ b/internal/versionrollout/sessions.go
@@ -14,12 +14,13 @@
 // maxRecentSessions bounds the sessions in lastSeen, for each service.
 const maxRecentSessions = 20000
 
-// PinSessions takes in hashes of the sessions of all nodes that stay on other versions than the order's target.
-func (t *Tracker) PinSessions(order Order, sessions []uint64) {
+// SetCollected takes in a collector's response to this node's report on an order.
+func (t *Tracker) SetCollected(order Order, collected Collected, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.rollouts[order.Service]; ok && r.order.Revision == order.Revision {
-		r.pinSessions(sessions)
+		r.pinSessions(collected.Sessions)
+		r.setWatched(collected.IsUnwatched, now)
 	}
 }
 
