versionrollout: hold a target back once its collector has stopped it

A node whose collector loses power went on for 2 s, and the node that collects next could stop the roll-out for itself only until it may write the state, 1.2 s later. A collector that has found the version bad now says so in its responses, and nodes count on a collector for 1.5 s after its last response.

--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -118,7 +118,7 @@
 type Collected struct {
 	// Sessions are hashes of the sessions of all nodes that stay on their version, see SessionsStayPinned.
 	Sessions []uint64
-	// IsUnwatched is set if the collector couldn't tell that the target is unhealthy, see Tracker.watches.
+	// IsUnwatched is set if the collector couldn't tell that the target is unhealthy, or has found that it is, see Tracker.watches.
 	IsUnwatched bool
 }
 
@@ -473,8 +473,9 @@
 		}
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
 		r.stampReports(now)
-		r.isWatching = t.watches(r, now)
-		r.setWatched(!r.isWatching, now)
+		if r.isWatching = t.watches(r, now); r.isWatching {
+			r.setWatched(true, now)
+		}
 		t.pinRecentSessions(service, r, now)
 		t.stopIfExposed(r, now)
 		r.needsReport = r.needsReport || now.Sub(r.reportedAt) >= refreshInterval
