--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,6 +19,7 @@
 	"github.com/monsoonrail/monsoonrail/internal/eventlog"
 	"github.com/monsoonrail/monsoonrail/internal/kv"
 	"github.com/monsoonrail/monsoonrail/internal/sleep"
+	"github.com/monsoonrail/monsoonrail/internal/transfer"
 )
 
 const (
@@ -174,7 +175,10 @@
 	m.mu.RUnlock()
 	upstream := m.opts.Upstream()
 	sent := m.opts.Now()
-	call := storeCall{sentAt: time.Now(), isRelayed: isRelay(upstream)}
+	call := &storeCall{sentAt: time.Now(), isRelayed: isRelay(upstream)}
+	if !call.isRelayed {
+		ctx = transfer.WithProgress(ctx, func() { m.recordProgress(call) })
+	}
 	if mustList {
 		list := upstream.List
 		lister, isStale := upstream.(StaleLister)
@@ -210,6 +214,7 @@
 	default:
 		wait = waitFor(call.sentAt.Sub(readAt))
 	}
+	call.wait = wait
 	batch, err := upstream.Poll(ctx, m.opts.Prefix, revision, wait)
 	if kv.IsErrCompacted(err) {
 		m.opts.Log.WithField("revision", int64(revision)).Info("store dropped its history, reading all keys again")
@@ -223,7 +228,7 @@
 		}
 		return false, err
 	}
-	call.wait, call.age, call.silence, call.sinceOutage = wait, batch.Age, batch.Silence, batch.SinceOutage
+	call.age, call.silence, call.sinceOutage = batch.Age, batch.Silence, batch.SinceOutage
 	m.recordAnswer(call)
 	m.apply(batch)
 	isChange := len(batch.Events) > 0
@@ -286,6 +291,8 @@
 	wait time.Duration
 	// age is that of the answer, relative to sentAt; silence and sinceOutage are those of the answer, both 0 if it is the store's own.
 	age, silence, sinceOutage time.Duration
+	// begunAt is when the first bytes of the answer arrived; zero if that isn't known.
+	begunAt time.Time
 }
 
 // waitFor returns how long the next poll may wait for changes if the newest complete read is of an age.
@@ -294,7 +301,7 @@
 }
 
 // recordFailure records that a call failed. Another node that fails shows nothing about the store.
-func (m *Mirror) recordFailure(call storeCall) {
+func (m *Mirror) recordFailure(call *storeCall) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !call.isRelayed {
@@ -302,9 +309,21 @@
 	}
 }
 
+// recordProgress records that a part of the store's answer has arrived: a large one may take longer than other nodes wait for a sign of the store.
+func (m *Mirror) recordProgress(call *storeCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if call.begunAt.IsZero() {
+		call.begunAt = now
+		m.recordOutage(call, now)
+	}
+	m.lastAnswer = now
+}
+
 // recordAnswer records that the store answered a call, to this node or to the one that relays it. Only failed or late calls to the store itself
 // show that it was out: a node that relays it may have heard of it some time ago. That node tells of the outages that it has found.
-func (m *Mirror) recordAnswer(call storeCall) {
+func (m *Mirror) recordAnswer(call *storeCall) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -312,21 +331,30 @@
 		m.readAt = readAt
 	}
 	at := now.Add(-call.silence)
-	isLate := now.Sub(call.sentAt) > call.wait+outageThreshold
 	switch {
 	case call.isRelayed && call.sinceOutage > 0:
 		if ended := now.Add(-call.sinceOutage); ended.After(m.outageEnded) {
 			m.outageEnded = ended
 		}
-	case call.isRelayed || m.lastAnswer.IsZero():
-	case isLate || m.lastFailure.After(m.lastAnswer) && at.Sub(m.lastAnswer) > outageThreshold+pollWait:
-		m.outageEnded = at
+	case !call.isRelayed && call.begunAt.IsZero():
+		m.recordOutage(call, at)
 	}
 	if at.After(m.lastAnswer) {
 		m.lastAnswer = at
 	}
 }
 
+// recordOutage records that the store was out until a time at which an answer of its own began, if that was late or came after a failed call; m.mu is held.
+func (m *Mirror) recordOutage(call *storeCall, at time.Time) {
+	if m.lastAnswer.IsZero() {
+		return
+	}
+	isLate := at.Sub(call.sentAt) > call.wait+outageThreshold
+	if isLate || m.lastFailure.After(m.lastAnswer) && at.Sub(m.lastAnswer) > outageThreshold+pollWait {
+		m.outageEnded = at
+	}
+}
+
 // sinceOutage returns how long ago the store was back after an outage, as long as expired entries are kept; 0 otherwise. m.mu is held.
 func (m *Mirror) sinceOutage() time.Duration {
 	if since := time.Since(m.outageEnded); since < restoreGracePeriod {
