storepath: try other nodes for a second before the store itself

When the store's watches heard nothing for two seconds and it then dropped its history, the copies of all watchers counted as silent, and they turned their readers away.

A node that reads through others tries them for a second now before it calls the store.

--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -29,6 +29,9 @@
 	fallbackPeriod = 5 * time.Second
 	// tooOldDelay is the delay before the next path is tried after one whose data was too old: nodes that have lost the store answer at once.
 	tooOldDelay = 150 * time.Millisecond
+	// fallbackDelay is how long a node that reads the store through others tries these before it calls the store itself. What keeps the store from answering
+	// one node, as a dropped history, often keeps it from answering all, and they would all call it at once.
+	fallbackDelay = time.Second
 	// fallbackRate is the number of calls per second to the store by all nodes together that have lost all nodes through which they read it.
 	fallbackRate = 40
 )
@@ -62,6 +65,8 @@
 	failures int
 	// isUntried is set until the current path has returned a usable answer.
 	isUntried bool
+	// failingSince is when the first of these calls failed.
+	failingSince time.Time
 	// retryPreferredAt is when the preferred path is tried again.
 	retryPreferredAt time.Time
 	// nextFallback is when this node may next call the store within the fleet's budget.
@@ -147,7 +152,7 @@
 		}
 	}
 	path := s.plan[s.failures%len(s.plan)]
-	if path.IsBudgeted && s.isUntried && !s.takeFallback(now) {
+	if path.IsBudgeted && s.isUntried && (now.Sub(s.failingSince) < fallbackDelay || !s.takeFallback(now)) {
 		s.failures++
 		path = s.plan[s.failures%len(s.plan)]
 	}
@@ -239,7 +244,8 @@
 	s.isUntried = true
 	s.relay.Store(nil)
 	if s.failures == 0 {
-		s.retryPreferredAt = time.Now().Add(fallbackPeriod)
+		s.failingSince = time.Now()
+		s.retryPreferredAt = s.failingSince.Add(fallbackPeriod)
 	}
 	s.failures++
 }
--- a/internal/storepath/size_test.go
+++ b/internal/storepath/size_test.go
@@ -113,6 +113,71 @@
 	confirmedAt map[string]boottime.Time
 	mirrors     []*mirror.Mirror
 	now         func() boottime.Time
+	// running are the goroutines of the nodes, which cancel and closers end.
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+	closers []func()
+}
+
+func newSizedFleet() *sizedFleet {
+	began := time.Now()
+	return &sizedFleet{confirmedAt: make(map[string]boottime.Time), now: func() boottime.Time { return boottime.Time(time.Since(began) + time.Hour) }}
+}
+
+// start starts a number of nodes, each with a link of a bandwidth in bytes per second.
+func (f *sizedFleet) start(t *testing.T, network *memnet.Network, store mirror.Store, count int, bandwidth float64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	var nodes, unknown []nodelist.Node
+	for i := range count {
+		ip := fmt.Sprintf("10.0.%d.1", i)
+		nodes = append(nodes, nodelist.Node{
+			ID: api.NodeID(ip), FailureDomain: "a", Callers: ip + ":80", Peers: ip + ":83", CPU: 0.144, Bandwidth: bandwidth * 8,
+		})
+	}
+	for _, node := range nodes {
+		ip := string(node.ID)
+		network.LimitBandwidth(ip, bandwidth)
+		transport := tcp.NewTransport(network.Host(ip))
+		var m *mirror.Mirror
+		selector := storepath.New(storepath.Options{
+			Self: node.ID, FailureDomain: "a", Store: store, Client: &http.Client{Transport: transport}, CountRead: func(bool, storepath.ReadOutcome) {},
+			Nodes: func() *[]nodelist.Node {
+				// The first list of the store tells a node of the others.
+				if m.Get(sizedServer(0, 0).Pair.Key).Version == 0 {
+					return &unknown
+				}
+				return &nodes
+			},
+		})
+		f.confirmedAt[ip] = f.now()
+		m = mirror.New(mirror.Options{
+			Upstream: selector.Next, ExpiringPrefix: "servers/", Changed: func([]string) {}, Now: f.now,
+			Confirmed: func(at boottime.Time) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.confirmedAt[ip] = max(f.confirmedAt[ip], at)
+			},
+		})
+		f.mirrors = append(f.mirrors, m)
+		mux := http.NewServeMux()
+		relay.Handle(mux, m, nil)
+		listener, err := network.Host(ip).Listen(ctx, node.Peers)
+		qt.Assert(t, err, qt.IsNil)
+		server := &http.Server{Handler: mux}
+		f.running.Go(func() { _ = server.Serve(listener) })
+		f.running.Go(func() { _ = m.Run(ctx) })
+		f.closers = append(f.closers, func() { _ = server.Close() }, transport.CloseIdleConnections)
+	}
+}
+
+// close ends the nodes.
+func (f *sizedFleet) close() {
+	f.cancel()
+	for _, end := range f.closers {
+		end()
+	}
+	f.running.Wait()
 }
 
 // oldest returns the largest time since a node's copy was known to be complete.
@@ -138,9 +203,8 @@
 		steps  = 30
 	)
 	synctest.Test(t, func(t *testing.T) {
-		began := time.Now()
 		network, store := memnet.New(), &history{changed: make(chan struct{})}
-		f := &sizedFleet{confirmedAt: make(map[string]boottime.Time), now: func() boottime.Time { return boottime.Time(time.Since(began) + time.Hour) }}
+		f := newSizedFleet()
 		for i := range servers {
 			store.change(sizedServer(i, 0))
 		}
@@ -148,50 +212,7 @@
 			store.change(sizedServer(i, 1))
 			time.Sleep(maxListAge / 30)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		var nodes, unknown []nodelist.Node
-		for i := range nodeCount {
-			ip := fmt.Sprintf("10.0.%d.1", i)
-			nodes = append(nodes, nodelist.Node{
-				ID: api.NodeID(ip), FailureDomain: "a", Callers: ip + ":80", Peers: ip + ":83", CPU: 0.144, Bandwidth: linkBytesPerSecond * 8,
-			})
-		}
-		var running sync.WaitGroup
-		var closers []func()
-		for _, node := range nodes {
-			ip := string(node.ID)
-			network.LimitBandwidth(ip, linkBytesPerSecond)
-			transport := tcp.NewTransport(network.Host(ip))
-			var m *mirror.Mirror
-			selector := storepath.New(storepath.Options{
-				Self: node.ID, FailureDomain: "a", Store: store, Client: &http.Client{Transport: transport}, CountRead: func(bool, storepath.ReadOutcome) {},
-				Nodes: func() *[]nodelist.Node {
-					// The first list of the store tells a node of the others.
-					if m.Get(sizedServer(0, 0).Pair.Key).Version == 0 {
-						return &unknown
-					}
-					return &nodes
-				},
-			})
-			f.confirmedAt[ip] = f.now()
-			m = mirror.New(mirror.Options{
-				Upstream: selector.Next, ExpiringPrefix: "servers/", Changed: func([]string) {}, Now: f.now,
-				Confirmed: func(at boottime.Time) {
-					f.mu.Lock()
-					defer f.mu.Unlock()
-					f.confirmedAt[ip] = max(f.confirmedAt[ip], at)
-				},
-			})
-			f.mirrors = append(f.mirrors, m)
-			mux := http.NewServeMux()
-			relay.Handle(mux, m, nil)
-			listener, err := network.Host(ip).Listen(ctx, node.Peers)
-			qt.Assert(t, err, qt.IsNil)
-			server := &http.Server{Handler: mux}
-			running.Go(func() { _ = server.Serve(listener) })
-			running.Go(func() { _ = m.Run(ctx) })
-			closers = append(closers, func() { _ = server.Close() }, transport.CloseIdleConnections)
-		}
+		f.start(t, network, store, nodeCount, linkBytesPerSecond)
 		step := func(kind string, bound time.Duration, change func(i int)) {
 			oldest := time.Duration(0)
 			for i := range steps {
@@ -227,10 +248,6 @@
 		for _, m := range f.mirrors {
 			qt.Check(t, m.List("servers/"), qt.HasLen, servers)
 		}
-		cancel()
-		for _, end := range closers {
-			end()
-		}
-		running.Wait()
+		f.close()
 	})
 }
