storepath: ask other nodes again when the store has dropped its history

Other nodes tell what has changed in a tenth of that. Such a node now asks them again first, and reads all keys itself from 2 s on.

--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -32,6 +32,8 @@
 	// fallbackDelay is how long a node that reads the store through others tries these before it calls the store itself. What keeps the store from answering
 	// one node, as a dropped history, often keeps it from answering all, and they would all call it at once.
 	fallbackDelay = time.Second
+	// listDelay is how long such a node leaves it to the others to read all keys anew after the store has dropped its history: what has changed is much smaller.
+	listDelay = 2 * time.Second
 	// fallbackRate is the number of calls per second to the store by all nodes together that have lost all nodes through which they read it.
 	fallbackRate = 40
 )
@@ -138,6 +140,12 @@
 	return errors.As(err, &tooOld)
 }
 
+// ErrHistoryDropped means that the store has dropped its history, so that other nodes are asked for what has changed.
+type ErrHistoryDropped struct{}
+
+// Error implements error.
+func (e *ErrHistoryDropped) Error() string { return "store dropped its history" }
+
 // Next returns the path to use for the next call.
 func (s *Selector) Next() mirror.Store {
 	now := time.Now()
@@ -170,7 +178,7 @@
 
 func (s *Selector) open(path Path) *storePath {
 	if path.Via == nil {
-		return &storePath{Store: s.opts.Store, name: directPath, selector: s}
+		return &storePath{Store: s.opts.Store, name: directPath, isBudgeted: path.IsBudgeted, selector: s}
 	}
 	return &storePath{
 		Store: &relay.Client{Address: path.Via.Peers, Client: s.opts.Client}, name: string(path.Via.ID), via: path.Via, selector: s,
@@ -183,8 +191,10 @@
 	// name is the name of the peer, or directPath.
 	name string
 	// via is nil for the store itself.
-	via      *nodelist.Node
-	selector *Selector
+	via *nodelist.Node
+	// isBudgeted is that of the Path.
+	isBudgeted bool
+	selector   *Selector
 }
 
 // IsRelay implements mirror.Relay.
@@ -218,10 +228,23 @@
 		wait = 0
 	}
 	batch, err := p.Store.Poll(ctx, prefix, after, wait)
+	if kv.IsErrCompacted(err) && p.isBudgeted && time.Since(p.selector.failingSince) < listDelay {
+		err = kv.Error.Wrap(&kv.ErrUnavailable{Cause: &ErrHistoryDropped{}})
+		p.recordResult(ctx, batch.Age, err)
+		p.selector.restart()
+		return batch, err
+	}
 	p.recordResult(ctx, batch.Age, err)
 	return batch, err
 }
 
+// restart has the paths tried from the first one on.
+func (s *Selector) restart() {
+	if tried := s.failures % len(s.plan); tried > 0 {
+		s.failures += len(s.plan) - tried
+	}
+}
+
 // recordResult selects the next path after an error or data that is too old. A compacted history means that the path itself works.
 func (p *storePath) recordResult(ctx context.Context, age time.Duration, err error) {
 	s := p.selector
