--- a/internal/storepath/recovering_relays_test.go
+++ b/internal/storepath/recovering_relays_test.go
@@ -95,3 +95,39 @@
 		})
 	}
 }
+
+// mutedStore is a store of which one watch hears nothing until its timeout.
+type mutedStore struct {
+	countingStore
+	isMuted atomic.Bool
+}
+
+// Poll implements mirror.Store.
+func (s *mutedStore) Poll(ctx context.Context, prefix string, after kv.Version, wait time.Duration) (kv.WatchBatch, error) {
+	if s.isMuted.CompareAndSwap(true, false) {
+		time.Sleep(wait + 600*time.Millisecond)
+		return kv.WatchBatch{}, kv.Error.Wrap(&kv.ErrUnavailable{})
+	}
+	return s.countingStore.Poll(ctx, prefix, after, wait)
+}
+
+// TestWatcherAsksTheStoreAgain has a watch hear nothing, as on a connection that has fallen silent, while other nodes are far or have no copy either: the node
+// that watches the store calls it once more before it asks them.
+func TestWatcherAsksTheStoreAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := largeFleet(2, 10)
+		watcher := storepath.ByCapacity(string(nodes[0].FailureDomain), nodes[:10])[0]
+		store, relays := &mutedStore{}, &recoveringRelays{until: time.Now().Add(time.Hour)}
+		paths := storepath.New(storepath.Options{
+			Self: watcher.ID, FailureDomain: watcher.FailureDomain, Store: store, Client: &http.Client{Transport: relays},
+			Nodes: func() *[]nodelist.Node { return &nodes }, CountRead: func(bool, storepath.ReadOutcome) {},
+		})
+		m, end := newMirror(paths.Next)
+		time.Sleep(5 * time.Second)
+		store.isMuted.Store(true)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, m.HasStoreAnswered(), qt.IsTrue)
+		qt.Check(t, relays.calls.Load(), qt.Equals, int64(0))
+		end()
+	})
+}
--- a/internal/storepath/selector.go
+++ b/internal/storepath/selector.go
@@ -264,8 +264,13 @@
 		return
 	}
 	s.lastFailure = err
-	s.isUntried = true
 	s.relay.Store(nil)
+	if wasTried := !s.isUntried; wasTried && p.via == nil && !p.isBudgeted && s.failures == 0 {
+		// A watch that heard nothing, or whose connection fell silent, says little about the store: a second call shows at once.
+		s.isUntried = true
+		return
+	}
+	s.isUntried = true
 	if s.failures == 0 {
 		s.failingSince = time.Now()
 		s.retryPreferredAt = s.failingSince.Add(fallbackPeriod)
