versionrollout: keep sessions on the target when a few reports are lost

Nodes counted on a collector for 1.5 s, of which an idle node that reports every second left 0.2 s, and dropped their share at once when another collector answered that it doesn't watch.

A collector that doesn't watch takes nothing back; one that has stopped the version says so, and is obeyed at once.

--- a/internal/rolloutrpc/rolloutrpc.go
+++ b/internal/rolloutrpc/rolloutrpc.go
@@ -64,8 +64,9 @@
 // ReportResponse is the collector's response to a Report, see versionrollout.Collected.
 type ReportResponse struct {
 	Sessions []uint64
-	// IsUnwatched is missing in the responses of earlier releases, whose nodes don't tell.
+	// IsUnwatched and IsStopped are missing in the responses of earlier releases, whose nodes don't tell.
 	IsUnwatched bool `json:",omitempty"`
+	IsStopped   bool `json:",omitempty"`
 }
 
 // Collector merges the reports of nodes; *versionrollout.Tracker implements it.
--- a/internal/versionrollout/book.go
+++ b/internal/versionrollout/book.go
@@ -118,8 +118,10 @@
 type Collected struct {
 	// Sessions are hashes of the sessions of all nodes that stay on their version, see SessionsStayPinned.
 	Sessions []uint64
-	// IsUnwatched is set if the collector couldn't tell that the target is unhealthy, or has found that it is, see Tracker.watches.
+	// IsUnwatched is set if the collector couldn't tell that the target is unhealthy, see Tracker.watches.
 	IsUnwatched bool
+	// IsStopped is set if the collector has found that it is unhealthy.
+	IsStopped bool
 }
 
 // NewTracker returns a tracker without roll-outs.
@@ -243,7 +245,14 @@
 		r.reports[node] = &peerReport{NodeReport: report}
 		t.stopIfUnhealthy(r)
 	}
-	return Collected{Sessions: r.pinnedSessions(), IsUnwatched: !r.isWatching}
+	collected := r.collected()
+	collected.Sessions = r.pinnedSessions()
+	return collected
+}
+
+// collected returns the node's response to reports, without sessions.
+func (r *rollout) collected() Collected {
+	return Collected{IsUnwatched: !r.isWatching, IsStopped: r.isStopped}
 }
 
 // stopIfUnhealthy stops the roll-out if the evidence of all nodes shows that the target is unhealthy. The caller holds t.mu.
@@ -473,9 +482,8 @@
 		}
 		w := Work{Order: r.order, Begin: r.begin, Status: r.status}
 		r.stampReports(now)
-		if r.isWatching = t.watches(r, now); r.isWatching {
-			r.setWatched(true, now)
-		}
+		r.isWatching = t.watches(r, now)
+		r.setCollected(r.collected(), now)
 		t.pinRecentSessions(service, r, now)
 		t.stopIfExposed(r, now)
 		r.needsReport = r.needsReport || now.Sub(r.reportedAt) >= refreshInterval
--- a/internal/versionrollout/sessions.go
+++ b/internal/versionrollout/sessions.go
@@ -20,7 +20,7 @@
 	defer t.mu.Unlock()
 	if r, ok := t.rollouts[order.Service]; ok && r.order.Revision == order.Revision {
 		r.pinSessions(collected.Sessions)
-		r.setWatched(!collected.IsUnwatched, now)
+		r.setCollected(collected, now)
 	}
 }
 
